--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -33,6 +33,11 @@
   return text.str();
 }
 
+std::string Joined(const std::string& name, const std::string& part) {
+  if (name.empty()) return part;
+  return name + "." + part;
+}
+
 std::string Range(double least, double most) {
   std::ostringstream text;
   text << least << " to " << most;
@@ -164,7 +169,7 @@
     if (node.IsMap()) {
       for (const auto& it : node) {
         const std::string part = it.first.as<std::string>();
-        Node(file, name.empty() ? part : name + "." + part, it.second);
+        Node(file, Joined(name, part), it.second);
       }
       return;
     }
