--- /dev/null
+++ b/src/kernel/program.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "base/settings.h"
+
+/// The command line that every program of the project shares.
+namespace hemlockward::kernel {
+
+/// Reads `--settings FILE`, `--set KEY=VALUE`..., `--check-settings`, `--help`
+/// and `--version` into the variables bound to `reader`. Returns the exit code
+/// when the program is to end at once: 0 after help, version or a clean check,
+/// 1 after findings (all printed to standard error), 2 after a usage error.
+std::optional<int> ReadProgramSettings(int argc, char** argv,
+                                       std::string_view program,
+                                       base::SettingsReader& reader);
+
+/// The common keys `log.level`, `log.format`, `log.file` and `threads`.
+class CommonSettings {
+ public:
+  void Bind(base::SettingsReader& reader);
+  /// Configures the log. Returns false after printing what was wrong.
+  bool Apply(std::string_view program) const;
+  [[nodiscard]] int threads() const { return static_cast<int>(threads_); }
+
+ private:
+  std::string level_ = "info";
+  std::string format_ = "keyvalue";
+  std::string file_;
+  std::int64_t threads_ = 2;
+};
+
+}  // namespace hemlockward::kernel
