--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -4,6 +4,8 @@
 
 #include <thread>
 
+#include "blocking.h"
+
 namespace hemlockward::kernel {
 namespace {
 
@@ -37,18 +39,9 @@
   }
 
   tl::expected<HttpResponse, HttpError> Call(HttpRequest request) {
-    std::optional<tl::expected<HttpResponse, HttpError>> result;
-    std::atomic<bool> done{false};
-    pool_.Spawn("call", [&]() -> asio::awaitable<void> {
-      auto answer =
-          co_await client_.Call("127.0.0.1:" + std::to_string(server_->port()),
-                                std::move(request), {200});
-      result = std::move(answer);
-      done = true;
-      done.notify_all();
-    }());
-    done.wait(false);
-    return std::move(*result);
+    return tests::RunBlocking(
+        pool_, client_.Call("127.0.0.1:" + std::to_string(server_->port()),
+                            std::move(request), {200}));
   }
 
   WorkerPool pool_;
@@ -85,15 +78,8 @@
 }
 
 TEST_F(HttpTest, RefusedConnectionSentNothing) {
-  WorkerPool pool(1);
-  HttpClient client(pool);
-  tl::expected<HttpResponse, HttpError> result;
-  pool.Spawn("call", [&]() -> asio::awaitable<void> {
-    HttpRequest request;
-    result = co_await client.Call("127.0.0.1:1", std::move(request), {200});
-    pool.Stop();
-  }());
-  pool.Run();
+  const auto result =
+      tests::RunBlocking(pool_, client_.Call("127.0.0.1:1", {}, {200}));
   ASSERT_FALSE(result);
   EXPECT_EQ(result.error().failure, HttpFailure::kNotSent);
 }
