--- a/src/kernel/program.cc
+++ b/src/kernel/program.cc
@@ -80,21 +80,21 @@
 bool CommonSettings::Apply(std::string_view program) const {
   using base::LogFormat;
   using base::LogLevel;
-  static const std::map<std::string, LogLevel> kLevels = {
+  static const std::map<std::string, LogLevel> levels = {
       {"debug", LogLevel::kDebug},
       {"info", LogLevel::kInfo},
       {"warning", LogLevel::kWarning},
       {"error", LogLevel::kError}};
-  static const std::map<std::string, LogFormat> kFormats = {
+  static const std::map<std::string, LogFormat> formats = {
       {"keyvalue", LogFormat::kKeyValue}, {"json", LogFormat::kJson}};
-  const auto level = kLevels.find(level_);
-  const auto format = kFormats.find(format_);
+  const auto level = levels.find(level_);
+  const auto format = formats.find(format_);
   base::Findings findings;
-  if (level == kLevels.end()) {
+  if (level == levels.end()) {
     findings.Add({"log.level", 0, 0}, "unknown level '" + level_ + "'",
                  "debug, info, warning or error");
   }
-  if (format == kFormats.end()) {
+  if (format == formats.end()) {
     findings.Add({"log.format", 0, 0}, "unknown format '" + format_ + "'",
                  "keyvalue or json");
   }
--- a/src/platform/table.cc
+++ b/src/platform/table.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr base::Millis kSettlePause{50};  // Doubled after each attempt.
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
@@ -41,14 +40,14 @@
 // What one attempt of a transaction has shown.
 struct Attempt {
   bool settled = false;       // The platform said what became of it.
-  bool may_have_ran = false;  // It may have been received.
+  bool may_have_run = false;  // It may have been received.
   tl::expected<Committed, TableError> result;
 };
 
 Attempt Judge(const tl::expected<HttpResponse, HttpError>& answer) {
   Attempt attempt;
   if (!answer) {
-    attempt.may_have_ran = answer.error().failure != HttpFailure::kNotSent;
+    attempt.may_have_run = answer.error().failure != HttpFailure::kNotSent;
     attempt.result = Unavailable(answer.error().what);
     return attempt;
   }
@@ -56,7 +55,7 @@
   if (answer->status == kOk || answer->status == kConflict) {
     const auto reply = DecodeTransactReply(answer->body);
     attempt.settled = reply.has_value();
-    attempt.may_have_ran = !reply;
+    attempt.may_have_run = !reply;
     if (!reply) return attempt;
     if (reply->committed) {
       attempt.result = Committed{reply->version};
@@ -68,7 +67,7 @@
   }
   // The platform promises that a 4xx or a 503 wrote nothing.
   const bool refused = answer->status >= 400 && answer->status < 500;
-  attempt.may_have_ran = !refused && answer->status != kUnavailable;
+  attempt.may_have_run = !refused && answer->status != kUnavailable;
   return attempt;
 }
 
@@ -79,9 +78,9 @@
 
 Result<Committed> TableClient::Transact(Transaction transaction) {
   const std::string body = Encode(transaction);
-  bool may_have_ran = false;
+  bool may_have_run = false;
   std::string what;
-  base::Millis pause = kSettlePause;
+  base::Millis pause = settings_.settle_pause;
   for (int n = 0; n <= settings_.settle_attempts; ++n) {
     if (n > 0) {
       co_await kernel::Sleep(pause);
@@ -92,12 +91,12 @@
         settings_.address, std::move(request), settings_.timeout);
     const Attempt attempt = Judge(answer);
     if (attempt.settled) co_return attempt.result;
-    may_have_ran = may_have_ran || attempt.may_have_ran;
+    may_have_run = may_have_run || attempt.may_have_run;
     what = attempt.result.error().what;
-    if (!may_have_ran) break;  // Nothing to settle; the caller may retry.
+    if (!may_have_run) break;  // Nothing to settle; the caller may retry.
   }
   const auto failure =
-      may_have_ran ? TableFailure::kUnknown : TableFailure::kUnavailable;
+      may_have_run ? TableFailure::kUnknown : TableFailure::kUnavailable;
   co_return tl::unexpected(TableError{failure, what});
 }
 
--- a/src/platform/table.h
+++ b/src/platform/table.h
@@ -15,6 +15,7 @@
   /// How often a transaction whose answer was lost is sent again under its
   /// nonce before it is reported as kUnknown.
   int settle_attempts = 2;
+  base::Millis settle_pause{50};  ///< Before the first of them; then doubled.
 };
 
 /// The platform's table over HTTP; fulfils the concept Table.
--- a/standin/target.cc
+++ b/standin/target.cc
@@ -251,6 +251,7 @@
   kernel::WorkerPool pool(common.threads());
   RunLog log;
   std::vector<std::unique_ptr<Target>> targets;
+  targets.reserve(static_cast<std::size_t>(settings.count));
   for (int i = 0; i < settings.count; ++i) {
     targets.push_back(std::make_unique<Target>(pool, settings, log, i));
   }
