Add the peer transport: Thrift messages in length-prefixed frames

Cause: entries and controls need calls whose errors say whether bytes may have been handed over. Weighed: multiplexing by call id, and one call per pooled connection; the latter needs no demultiplexer and no slow call holds up another. Measured: none yet.

peer_transport_test: 7 tests passed.

--- /dev/null
+++ b/src/peer/transport.cc
@@ -0,0 +1,372 @@
+#include "peer/transport.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+
+#include "base/log.h"
+#include "peer/gen/peer_types.h"
+
+namespace hemlockward::peer {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using base::Millis;
+using boost::system::error_code;
+
+namespace {
+
+// A frame that has begun must be whole within this time.
+constexpr Millis kFrameTimeout = base::Seconds(10);
+// A server closes connections that were silent for this long.
+constexpr Millis kServerIdle = base::Seconds(60);
+// A client drops its connections before the server does.
+constexpr Millis kClientIdle = base::Seconds(20);
+constexpr std::size_t kMaxConnections = 1024;
+constexpr std::size_t kMaxKeptPerPeer = 64;
+// Memory grows with the bytes received, not with the length announced.
+constexpr std::size_t kReadChunkBytes = 64 * 1024;
+constexpr std::size_t kLengthBytes = 4;
+
+auto Redirect(error_code& ec) {
+  return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+// Throws when the address isn't `IP:port`.
+tcp::endpoint ParseAddress(std::string_view address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    throw std::invalid_argument("address without a port: " +
+                                std::string(address));
+  }
+  const std::string host(address.substr(0, colon));
+  const int port = std::stoi(std::string(address.substr(colon + 1)));
+  return {asio::ip::make_address(host), static_cast<std::uint16_t>(port)};
+}
+
+std::array<std::uint8_t, kLengthBytes> LengthPrefix(std::size_t n) {
+  return {static_cast<std::uint8_t>(n >> 24),
+          static_cast<std::uint8_t>(n >> 16), static_cast<std::uint8_t>(n >> 8),
+          static_cast<std::uint8_t>(n)};
+}
+
+std::size_t FrameLength(const std::array<std::uint8_t, kLengthBytes>& prefix) {
+  return (std::size_t{prefix[0]} << 24) | (std::size_t{prefix[1]} << 16) |
+         (std::size_t{prefix[2]} << 8) | std::size_t{prefix[3]};
+}
+
+// A socket with a deadline; all its handlers run on the socket's strand.
+struct Connection : std::enable_shared_from_this<Connection> {
+  explicit Connection(tcp::socket socket)
+      : socket(std::move(socket)), timer(this->socket.get_executor()) {}
+
+  // Closes the socket unless another deadline is set within `limit`.
+  void SetDeadline(Millis limit) {
+    const std::uint64_t n = ++deadline_number;
+    timer.expires_after(limit.ToChrono());
+    timer.async_wait([self = shared_from_this(), n](error_code ec) {
+      if (ec || self->deadline_number != n) return;
+      self->expired = true;
+      error_code ignored;
+      self->socket.close(ignored);
+    });
+  }
+
+  void ClearDeadline() {
+    ++deadline_number;
+    timer.cancel();
+  }
+
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::uint64_t deadline_number = 0;
+  bool expired = false;
+  Millis kept_since;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+// Reads one frame's bytes; empty with `ec` set when there is no whole one.
+asio::awaitable<std::string> ReadFrame(Connection& connection, error_code& ec) {
+  std::array<std::uint8_t, kLengthBytes> prefix{};
+  co_await asio::async_read(connection.socket, asio::buffer(prefix),
+                            Redirect(ec));
+  if (ec) co_return std::string();
+  const std::size_t length = FrameLength(prefix);
+  if (length == 0 || length > kMaxFrameBytes) {
+    ec = asio::error::message_size;
+    co_return std::string();
+  }
+
+  std::string frame;
+  while (frame.size() < length) {
+    const std::size_t begin = frame.size();
+    const std::size_t n = std::min(kReadChunkBytes, length - begin);
+    frame.resize(begin + n);
+    co_await asio::async_read(
+        connection.socket, asio::buffer(frame.data() + begin, n), Redirect(ec));
+    if (ec) co_return std::string();
+  }
+  co_return frame;
+}
+
+asio::awaitable<void> WriteFrame(Connection& connection,
+                                 const std::string& frame, error_code& ec) {
+  const auto prefix = LengthPrefix(frame.size());
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(prefix),
+                                                     asio::buffer(frame)};
+  co_await asio::async_write(connection.socket, buffers, Redirect(ec));
+}
+
+// True when the peer has closed the connection or sent something unasked.
+bool IsStale(tcp::socket& socket) {
+  error_code ec;
+  socket.non_blocking(true, ec);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+}  // namespace
+
+struct PeerServer::State : std::enable_shared_from_this<State> {
+  State(kernel::WorkerPool& pool, PeerHandler handler)
+      : pool(pool),
+        handler(std::move(handler)),
+        acceptor(asio::make_strand(pool.context())) {}
+
+  asio::awaitable<void> AcceptLoop();
+  asio::awaitable<void> Serve(ConnectionPtr connection);
+  asio::awaitable<bool> ServeOne(Connection& connection);
+  bool Remember(const ConnectionPtr& connection);
+  void Forget(const ConnectionPtr& connection);
+
+  kernel::WorkerPool& pool;
+  PeerHandler handler;
+  tcp::acceptor acceptor;
+  std::atomic<bool> closed{false};
+  std::mutex mutex;  // Guards connections.
+  std::list<ConnectionPtr> connections;
+};
+
+bool PeerServer::State::Remember(const ConnectionPtr& connection) {
+  const std::lock_guard lock(mutex);
+  if (closed || connections.size() >= kMaxConnections) return false;
+  connections.push_back(connection);
+  return true;
+}
+
+void PeerServer::State::Forget(const ConnectionPtr& connection) {
+  const std::lock_guard lock(mutex);
+  connections.remove(connection);
+}
+
+asio::awaitable<void> PeerServer::State::AcceptLoop() {
+  const auto self = shared_from_this();
+  while (!closed) {
+    error_code ec;
+    tcp::socket socket = co_await acceptor.async_accept(
+        asio::make_strand(pool.context()), Redirect(ec));
+    if (ec == asio::error::operation_aborted || closed) co_return;
+    if (ec) {
+      co_await kernel::Sleep({10});  // Out of descriptors: wait for some.
+      continue;
+    }
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    if (!Remember(connection)) continue;
+    asio::co_spawn(
+        connection->socket.get_executor(),
+        [self, connection] { return self->Serve(connection); },
+        [self, connection](const std::exception_ptr&) {
+          connection->ClearDeadline();
+          self->Forget(connection);
+        });
+  }
+}
+
+asio::awaitable<void> PeerServer::State::Serve(ConnectionPtr connection) {
+  error_code ec;
+  connection->socket.set_option(tcp::no_delay(true), ec);
+  while (co_await ServeOne(*connection)) {
+  }
+  connection->socket.close(ec);
+}
+
+// Answers one call. Returns false when the connection is to end.
+asio::awaitable<bool> PeerServer::State::ServeOne(Connection& connection) {
+  error_code ec;
+  connection.SetDeadline(kServerIdle);
+  co_await connection.socket.async_wait(tcp::socket::wait_read, Redirect(ec));
+  if (ec) co_return false;
+
+  connection.SetDeadline(kFrameTimeout);
+  const std::string frame = co_await ReadFrame(connection, ec);
+  if (ec) co_return false;
+  connection.ClearDeadline();
+
+  const auto call = DecodeMessage(frame);
+  if (!call) {
+    base::LogLine(base::LogLevel::kWarning, "peer_frame_malformed")
+        .With("error", call.error());
+    co_return false;
+  }
+  gen::Message reply;
+  try {
+    reply = co_await handler(*call);
+  } catch (const std::exception& e) {
+    reply = ErrorMessage(e.what());
+  }
+
+  const std::string bytes = EncodeMessage(reply);
+  if (bytes.size() > kMaxFrameBytes) co_return false;
+  connection.SetDeadline(kFrameTimeout);
+  co_await WriteFrame(connection, bytes, ec);
+  co_return !ec;
+}
+
+PeerServer::PeerServer(kernel::WorkerPool& pool, std::string_view address,
+                       PeerHandler handler)
+    : state_(std::make_shared<State>(pool, std::move(handler))) {
+  const tcp::endpoint endpoint = ParseAddress(address);
+  state_->acceptor.open(endpoint.protocol());
+  state_->acceptor.set_option(asio::socket_base::reuse_address(true));
+  state_->acceptor.bind(endpoint);
+  state_->acceptor.listen(asio::socket_base::max_listen_connections);
+  asio::co_spawn(
+      state_->acceptor.get_executor(),
+      [state = state_] { return state->AcceptLoop(); },
+      [](const std::exception_ptr&) {});
+}
+
+PeerServer::~PeerServer() { Close(); }
+
+void PeerServer::Close() {
+  state_->closed = true;
+  asio::post(state_->acceptor.get_executor(), [state = state_] {
+    error_code ec;
+    state->acceptor.close(ec);
+  });
+  const std::lock_guard lock(state_->mutex);
+  for (const ConnectionPtr& it : state_->connections) {
+    asio::post(it->socket.get_executor(), [it] {
+      error_code ec;
+      it->socket.close(ec);
+    });
+  }
+}
+
+int PeerServer::port() const {
+  return state_->acceptor.local_endpoint().port();
+}
+
+struct PeerClient::State : std::enable_shared_from_this<State> {
+  explicit State(kernel::WorkerPool& pool) : pool(pool) {}
+
+  ConnectionPtr TakeKept(const std::string& address);
+  void Keep(const std::string& address, ConnectionPtr connection);
+  asio::awaitable<tl::expected<gen::Message, PeerError>> Exchange(
+      std::string address, std::string frame, Millis timeout,
+      ConnectionPtr connection);
+
+  kernel::WorkerPool& pool;
+  base::SystemClock clock;
+  std::mutex mutex;  // Guards kept.
+  std::map<std::string, std::deque<ConnectionPtr>> kept;
+};
+
+ConnectionPtr PeerClient::State::TakeKept(const std::string& address) {
+  const std::lock_guard lock(mutex);
+  auto& list = kept[address];
+  while (!list.empty()) {
+    ConnectionPtr last = std::move(list.back());
+    list.pop_back();
+    const bool fresh = clock.Now() - last->kept_since < kClientIdle;
+    if (fresh && !IsStale(last->socket)) return last;
+  }
+  return nullptr;
+}
+
+void PeerClient::State::Keep(const std::string& address,
+                             ConnectionPtr connection) {
+  connection->kept_since = clock.Now();
+  const std::lock_guard lock(mutex);
+  auto& list = kept[address];
+  if (list.size() >= kMaxKeptPerPeer) list.pop_front();
+  list.push_back(std::move(connection));
+}
+
+// One call and its reply, on the connection's own strand.
+asio::awaitable<tl::expected<gen::Message, PeerError>>
+PeerClient::State::Exchange(std::string address, std::string frame,
+                            Millis timeout, ConnectionPtr connection) {
+  error_code ec;
+  connection->SetDeadline(timeout);
+  if (!connection->socket.is_open()) {
+    co_await connection->socket.async_connect(ParseAddress(address),
+                                              Redirect(ec));
+    if (ec) {
+      connection->ClearDeadline();
+      co_return tl::unexpected(PeerError{PeerFailure::kNotSent, ec.message()});
+    }
+    connection->socket.set_option(tcp::no_delay(true), ec);
+  }
+
+  std::string reply;
+  co_await WriteFrame(*connection, frame, ec);
+  if (!ec) reply = co_await ReadFrame(*connection, ec);
+  connection->ClearDeadline();
+  if (ec) {
+    const PeerFailure failure =
+        connection->expired ? PeerFailure::kTimeout : PeerFailure::kBroken;
+    co_return tl::unexpected(PeerError{failure, ec.message()});
+  }
+
+  auto message = DecodeMessage(reply);
+  if (!message) {
+    co_return tl::unexpected(
+        PeerError{PeerFailure::kBadReply, message.error()});
+  }
+  Keep(address, std::move(connection));
+  co_return std::move(*message);
+}
+
+PeerClient::PeerClient(kernel::WorkerPool& pool)
+    : state_(std::make_shared<State>(pool)) {}
+
+PeerClient::~PeerClient() = default;
+
+asio::awaitable<tl::expected<gen::Message, PeerError>> PeerClient::Call(
+    std::string address, gen::Message message, Millis timeout) {
+  const auto state = state_;
+  std::string frame = EncodeMessage(message);
+  if (frame.size() > kMaxFrameBytes) {
+    co_return tl::unexpected(
+        PeerError{PeerFailure::kNotSent, "message too long"});
+  }
+  ConnectionPtr connection = state->TakeKept(address);
+  if (!connection) {
+    connection = std::make_shared<Connection>(
+        tcp::socket(asio::make_strand(state->pool.context())));
+  }
+  const auto executor = connection->socket.get_executor();
+  auto exchange = state->Exchange(std::move(address), std::move(frame), timeout,
+                                  std::move(connection));
+  co_return co_await asio::co_spawn(executor, std::move(exchange),
+                                    asio::use_awaitable);
+}
+
+}  // namespace hemlockward::peer
--- /dev/null
+++ b/src/peer/transport.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "base/clock.h"
+#include "kernel/worker_pool.h"
+
+namespace hemlockward::peer::gen {
+class Message;
+}  // namespace hemlockward::peer::gen
+
+/// Calls between hemlockward's own processes: one Thrift message (compact
+/// protocol) in a frame with a 4-byte big-endian length, answered by one
+/// frame on the same connection. A connection carries one call at a time.
+namespace hemlockward::peer {
+
+/// Longest frame accepted or sent, in bytes.
+inline constexpr std::size_t kMaxFrameBytes = 16 * 1024 * 1024;
+
+/// How far a failed call got; decides whether it may be repeated elsewhere.
+enum class PeerFailure : std::uint8_t {
+  kNotSent,   ///< No byte of the message left this process.
+  kTimeout,   ///< The peer may have acted on the message.
+  kBroken,    ///< The connection ended first; the peer may have acted.
+  kBadReply,  ///< The reply can't be read; the peer may have acted.
+};
+
+struct PeerError {
+  PeerFailure failure = PeerFailure::kNotSent;
+  std::string what;
+};
+
+/// The bytes of a message, without the frame's length.
+std::string EncodeMessage(const gen::Message& message);
+/// Reads a message; fails on anything that isn't exactly one. A message of a
+/// kind that a newer release added has no member set.
+tl::expected<gen::Message, std::string> DecodeMessage(std::string_view bytes);
+/// A message that says why a call was refused.
+gen::Message ErrorMessage(std::string reason);
+
+using PeerHandler =
+    std::function<boost::asio::awaitable<gen::Message>(gen::Message)>;
+
+/// Serves one address. A malformed or too long frame closes its connection
+/// and never reaches the handler.
+class PeerServer {
+ public:
+  /// Throws boost::system::system_error when the address can't be bound.
+  PeerServer(kernel::WorkerPool& pool, std::string_view address,
+             PeerHandler handler);
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  /// Accepts no more connections and closes those that are open.
+  void Close();
+  /// The bound port; useful when the address ended in `:0`.
+  [[nodiscard]] int port() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+/// Keep-alive connections to any number of peers.
+class PeerClient {
+ public:
+  explicit PeerClient(kernel::WorkerPool& pool);
+  ~PeerClient();
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
+
+  /// Sends one message to `address` (`IP:port`) and returns the reply.
+  boost::asio::awaitable<tl::expected<gen::Message, PeerError>> Call(
+      std::string address, gen::Message message, base::Millis timeout);
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace hemlockward::peer
--- /dev/null
+++ b/tests/peer_transport_test.cc
@@ -0,0 +1,155 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+#include <thread>
+
+#include "peer/gen/peer_types.h"
+#include "peer/transport.h"
+
+namespace hemlockward::peer {
+namespace {
+
+namespace asio = boost::asio;
+
+gen::Message Outcome(const std::string& key) {
+  gen::OutcomeRequest request;
+  request.__set_key(key);
+  gen::Message message;
+  message.__set_outcome_request(request);
+  return message;
+}
+
+// A server that echoes the key as an error's reason, and a client.
+class TransportTest : public testing::Test {
+ protected:
+  TransportTest() : pool_(2), client_(pool_) {
+    server_ = std::make_unique<PeerServer>(
+        pool_, "127.0.0.1:0",
+        [this](gen::Message call) { return Handle(std::move(call)); });
+    thread_ = std::jthread([this] { pool_.Run(); });
+  }
+  ~TransportTest() override { pool_.Stop(); }
+
+  asio::awaitable<gen::Message> Handle(gen::Message call) {
+    ++handled_;
+    if (call.outcome_request.key == "slow") co_await kernel::Sleep({300});
+    co_return ErrorMessage(call.outcome_request.key);
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(server_->port());
+  }
+
+  tl::expected<gen::Message, PeerError> Call(std::string address,
+                                             const gen::Message& message) {
+    std::optional<tl::expected<gen::Message, PeerError>> result;
+    std::atomic<bool> done{false};
+    pool_.Spawn("call", [&]() -> asio::awaitable<void> {
+      auto reply = co_await client_.Call(std::move(address), message, {200});
+      result = std::move(reply);
+      done = true;
+      done.notify_all();
+    }());
+    done.wait(false);
+    return std::move(*result);
+  }
+
+  kernel::WorkerPool pool_;
+  PeerClient client_;
+  std::unique_ptr<PeerServer> server_;
+  std::atomic<int> handled_{0};
+  std::jthread thread_;
+};
+
+TEST_F(TransportTest, AnswersOverAKeptConnection) {
+  for (const std::string key : {"a", "b", "c"}) {
+    const auto reply = Call(Address(), Outcome(key));
+    ASSERT_TRUE(reply) << reply.error().what;
+    EXPECT_EQ(reply->error.reason, key);
+  }
+}
+
+TEST_F(TransportTest, SaysHowFarAFailedCallGot) {
+  const auto slow = Call(Address(), Outcome("slow"));
+  ASSERT_FALSE(slow);
+  EXPECT_EQ(slow.error().failure, PeerFailure::kTimeout);
+
+  const auto refused = Call("127.0.0.1:1", Outcome("a"));
+  ASSERT_FALSE(refused);
+  EXPECT_EQ(refused.error().failure, PeerFailure::kNotSent);
+
+  const auto huge =
+      Call(Address(), Outcome(std::string(kMaxFrameBytes + 1, 'x')));
+  ASSERT_FALSE(huge);
+  EXPECT_EQ(huge.error().failure, PeerFailure::kNotSent);
+}
+
+TEST_F(TransportTest, KeptConnectionClosedByThePeerIsReplaced) {
+  ASSERT_TRUE(Call(Address(), Outcome("a")));
+  const std::string address = Address();
+  server_.reset();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  server_ = std::make_unique<PeerServer>(
+      pool_, address,
+      [this](gen::Message call) { return Handle(std::move(call)); });
+  const auto reply = Call(address, Outcome("b"));
+  ASSERT_TRUE(reply) << reply.error().what;
+}
+
+// Each malformed frame closes its connection and reaches no handler.
+TEST_F(TransportTest, MalformedFramesCloseTheConnection) {
+  const std::string valid = EncodeMessage(Outcome("key"));
+  const struct {
+    const char* name;
+    std::string bytes;
+  } cases[] = {
+      {"empty frame", std::string(4, '\0')},
+      {"announces 4 GiB", std::string(4, '\xff')},
+      {"not thrift", std::string("\0\0\0\4zzzz", 8)},
+      {"bytes after the message", std::string("\0\0\0", 3) +
+                                      static_cast<char>(valid.size() + 1) +
+                                      valid + "x"},
+  };
+  for (const auto& it : cases) {
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(server_->port())});
+    asio::write(socket, asio::buffer(it.bytes));
+    char byte = 0;
+    boost::system::error_code ec;
+    asio::read(socket, asio::buffer(&byte, 1), ec);
+    EXPECT_TRUE(ec) << it.name;
+  }
+  EXPECT_EQ(handled_, 0);
+}
+
+RC_GTEST_PROP(MessageProperty, AnyBytesAreReadOrRefused, (std::string bytes)) {
+  const auto message = DecodeMessage(bytes);
+  if (message) RC_ASSERT(!EncodeMessage(*message).empty());
+}
+
+RC_GTEST_PROP(MessageProperty, DamagedMessagesAreReadOrRefused,
+              (std::string key, std::size_t at, char byte)) {
+  std::string bytes = EncodeMessage(Outcome(key));
+  bytes[at % bytes.size()] = byte;
+  const auto message = DecodeMessage(bytes);
+  if (message) RC_ASSERT(!EncodeMessage(*message).empty());
+  RC_ASSERT(!DecodeMessage(bytes.substr(0, at % bytes.size())).has_value());
+}
+
+RC_GTEST_PROP(MessageProperty, RoundTrip, (std::string key, bool cancel)) {
+  gen::Message message = Outcome(key);
+  message.outcome_request.__set_cancel(cancel);
+  const auto read = DecodeMessage(EncodeMessage(message));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(*read == message);
+}
+
+}  // namespace
+}  // namespace hemlockward::peer
