--- /dev/null
+++ b/src/entry/ejection.cc
@@ -0,0 +1,143 @@
+#include "entry/ejection.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hemlockward::entry {
+namespace {
+
+using base::Millis;
+
+/// Weight of the newest result in a worker's and in a pool's share of failures.
+constexpr double kWorkerWeight = 0.2;
+constexpr double kPoolWeight = 0.02;
+/// Pause before a trial that ended without a result is repeated.
+constexpr Millis kTrialRetry{200};
+constexpr Millis kNever{std::numeric_limits<std::int64_t>::max()};
+
+}  // namespace
+
+std::string_view ToText(HealthState value) {
+  switch (value) {
+    case HealthState::kHealthy:
+      return "healthy";
+    case HealthState::kEjected:
+      return "ejected";
+    case HealthState::kTrial:
+      return "trial";
+  }
+  return "unknown";
+}
+
+PoolHealth::PoolHealth(EjectionPolicy policy)
+    : policy_(policy), next_trial_(kNever) {}
+
+void PoolHealth::Add(SlotIndex worker) {
+  const auto it =
+      std::lower_bound(workers_.begin(), workers_.end(), worker,
+                       [](const Worker& a, SlotIndex id) { return a.id < id; });
+  if (it != workers_.end() && it->id == worker) return;
+  Worker added;
+  added.id = worker;
+  workers_.insert(it, added);
+}
+
+void PoolHealth::Remove(SlotIndex worker) {
+  const Worker* found = Find(worker);
+  if (found == nullptr) return;
+  if (found->state != HealthState::kHealthy) --ejected_;
+  workers_.erase(workers_.begin() + (found - workers_.data()));
+  FindNextTrial();
+}
+
+HealthChange PoolHealth::OnResult(SlotIndex id, bool ok, Millis now) {
+  Worker* worker = Find(id);
+  if (worker == nullptr) return HealthChange::kNone;
+  const double failed = ok ? 0.0 : 1.0;
+  pool_fail_share_ += kPoolWeight * (failed - pool_fail_share_);
+  worker->fail_share += kWorkerWeight * (failed - worker->fail_share);
+  ++worker->results;
+  if (worker->state == HealthState::kTrial) {
+    if (!ok) {
+      Eject(*worker, now);
+      return HealthChange::kNone;
+    }
+    *worker = Worker{};
+    worker->id = id;
+    --ejected_;
+    FindNextTrial();
+    return HealthChange::kReadmitted;
+  }
+  const bool judged = worker->state == HealthState::kHealthy && !ok &&
+                      worker->results >= policy_.min_results;
+  const double others = policy_.times_pool * pool_fail_share_;
+  if (!judged || worker->fail_share < policy_.fail_share ||
+      worker->fail_share < others || ejected_ >= most_ejected()) {
+    return HealthChange::kNone;
+  }
+  ++ejected_;
+  Eject(*worker, now);
+  return HealthChange::kEjected;
+}
+
+void PoolHealth::EndTrial(SlotIndex id, Millis now) {
+  Worker* worker = Find(id);
+  if (worker == nullptr || worker->state != HealthState::kTrial) return;
+  worker->state = HealthState::kEjected;
+  worker->until = now + kTrialRetry;
+  next_trial_ = std::min(next_trial_, worker->until);
+}
+
+SlotIndex PoolHealth::StartTrial(Millis now) {
+  if (now < next_trial_) return kNoSlot;
+  for (Worker& worker : workers_) {
+    if (worker.state != HealthState::kEjected || worker.until > now) continue;
+    worker.state = HealthState::kTrial;
+    FindNextTrial();
+    return worker.id;
+  }
+  FindNextTrial();
+  return kNoSlot;
+}
+
+HealthState PoolHealth::State(SlotIndex worker) const {
+  const Worker* found = Find(worker);
+  return found == nullptr ? HealthState::kHealthy : found->state;
+}
+
+int PoolHealth::most_ejected() const {
+  const auto n = static_cast<int>(workers_.size());
+  const int share = static_cast<int>(policy_.max_ejected_share * n);
+  return std::max(share, n >= 2 ? 1 : 0);
+}
+
+const PoolHealth::Worker* PoolHealth::Find(SlotIndex worker) const {
+  const auto it =
+      std::lower_bound(workers_.begin(), workers_.end(), worker,
+                       [](const Worker& a, SlotIndex id) { return a.id < id; });
+  return it != workers_.end() && it->id == worker ? &*it : nullptr;
+}
+
+PoolHealth::Worker* PoolHealth::Find(SlotIndex worker) {
+  return const_cast<Worker*>(std::as_const(*this).Find(worker));
+}
+
+// Each ejection in a row doubles the pause before the next trial.
+void PoolHealth::Eject(Worker& worker, Millis now) {
+  worker.state = HealthState::kEjected;
+  worker.pause = worker.pause.count == 0
+                     ? policy_.first_pause
+                     : std::min(worker.pause * 2, policy_.longest_pause);
+  worker.until = now + worker.pause;
+  next_trial_ = std::min(next_trial_, worker.until);
+}
+
+void PoolHealth::FindNextTrial() {
+  next_trial_ = kNever;
+  for (const Worker& worker : workers_) {
+    if (worker.state != HealthState::kEjected) continue;
+    next_trial_ = std::min(next_trial_, worker.until);
+  }
+}
+
+}  // namespace hemlockward::entry
