--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback for about two minutes: stand-ins, entries, controls and load,
+# with a move, a maintenance wave and a kill -9 of one entry. Last line: the load's JSON summary.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+exec python3 tests/system/local_run.py
