--- /dev/null
+++ b/src/entry/peers.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/fleet.h"
+#include "kernel/worker_pool.h"
+#include "peer/transport.h"
+#include "peer/view_sync.h"
+
+namespace hemlockward::entry {
+
+/// What this entry tells its peers about itself.
+struct EntryStatus {
+  base::Revision revision = 0;  ///< The one in force for routing.
+  std::vector<std::string> busy_vms;
+  std::map<std::string, std::int32_t> demand;
+  bool stopping = false;
+};
+
+/// What a peer's newest heartbeat reply said.
+struct PeerStatus {
+  base::EntryId entry;
+  base::Incarnation incarnation = 0;
+  base::Revision revision = 0;
+  base::Millis sent;  ///< When the heartbeat that it answered was sent.
+  bool stopping = false;
+  std::map<std::string, std::int32_t> demand;
+};
+
+/// Exchanges heartbeats with every known peer and fetches changes from those
+/// that are ahead. Thread-safe.
+class Peers {
+ public:
+  struct Options {
+    base::EntryRow self;
+    std::vector<std::string> seeds;  ///< Addresses from the settings.
+    base::Millis interval;
+    base::Millis timeout;
+  };
+
+  /// `status` is asked before each message; `on_reply` hears of every reply;
+  /// `on_view` is called after the view has moved forward.
+  Peers(kernel::WorkerPool& pool, const base::SystemClock& clock,
+        peer::PeerClient& client, peer::ViewStore& view, Options options,
+        std::function<EntryStatus()> status,
+        std::function<void(const PeerStatus&)> on_reply,
+        std::function<void()> on_view);
+
+  /// Sends heartbeats until Stop.
+  boost::asio::awaitable<void> Run();
+  void Stop() { stopped_ = true; }
+  /// Addresses of registered entries, besides seeds and members.
+  void SetRegistered(std::vector<base::EntryRow> rows);
+
+  /// Answers a peer's heartbeat or request for changes.
+  peer::gen::Message Answer(const peer::gen::Message& call);
+  /// Newest status of each peer that ever answered.
+  [[nodiscard]] std::vector<PeerStatus> Statuses() const;
+
+ private:
+  std::set<std::string> Addresses() const;
+  boost::asio::awaitable<void> Beat(std::string address);
+  boost::asio::awaitable<void> Exchange(std::string address);
+  boost::asio::awaitable<void> FetchFrom(std::string address);
+
+  kernel::WorkerPool& pool_;
+  const base::SystemClock& clock_;
+  peer::PeerClient& client_;
+  peer::ViewStore& view_;
+  Options options_;
+  std::function<EntryStatus()> status_;
+  std::function<void(const PeerStatus&)> on_reply_;
+  std::function<void()> on_view_;
+  std::atomic<bool> stopped_{false};
+
+  mutable std::mutex mutex_;  // Guards all below; "membership" in the order.
+  std::set<std::string> in_flight_;
+  std::map<std::string, PeerStatus> statuses_;  // By address.
+  std::vector<base::EntryRow> registered_;
+};
+
+}  // namespace hemlockward::entry
--- /dev/null
+++ b/src/entry/server.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "entry/decision_log.h"
+#include "entry/dispatch.h"
+#include "entry/request.h"
+#include "entry/settings.h"
+#include "kernel/http.h"
+
+namespace hemlockward::entry {
+
+/// The callers' HTTP API. Every answer carries `Hemlockward-Request-Id` and
+/// `Hemlockward-Outcome`; errors are `application/problem+json`.
+class CallerApi {
+ public:
+  /// `cannot_serve` returns why requests can't be served now, `not_ready` why
+  /// no more should be sent here; both nothing when all is well.
+  CallerApi(const EntrySettings& settings, const base::SystemClock& clock,
+            Dispatcher& dispatcher, DecisionLog& decisions,
+            base::Metrics& metrics, std::function<std::string()> cannot_serve,
+            std::function<std::string()> not_ready);
+
+  boost::asio::awaitable<kernel::HttpResponse> Handle(
+      kernel::HttpRequest request);
+
+ private:
+  boost::asio::awaitable<kernel::HttpResponse> HandleRequest(
+      kernel::HttpRequest request, std::string_view service);
+  kernel::HttpResponse HandleReady() const;
+  kernel::HttpResponse HandleWhy(std::string_view request_id) const;
+
+  const EntrySettings& settings_;
+  const base::SystemClock& clock_;
+  Dispatcher& dispatcher_;
+  DecisionLog& decisions_;
+  base::Metrics& metrics_;
+  std::function<std::string()> cannot_serve_;
+  std::function<std::string()> not_ready_;
+};
+
+/// What a caller's headers ask for, or why they can't be understood.
+tl::expected<Request, std::string> ParseRequest(
+    const kernel::HttpRequest& message, std::string_view service,
+    const EntrySettings& settings, base::Millis now);
+
+/// The HTTP form of an answer.
+kernel::HttpResponse ToHttp(const Answer& answer, std::string_view request_id);
+
+}  // namespace hemlockward::entry
--- /dev/null
+++ b/src/entry/waiter.cc
@@ -0,0 +1,35 @@
+#include "entry/waiter.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace hemlockward::entry {
+
+namespace asio = boost::asio;
+
+Waiter::Waiter(const asio::any_io_executor& strand) : timer_(strand) {}
+
+asio::awaitable<bool> Waiter::WaitFor(base::Millis limit) {
+  if (notified_) co_return true;
+  boost::system::error_code ec;
+  timer_.expires_after(limit.ToChrono());
+  co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  co_return notified_.load();
+}
+
+// The cancellation runs on the waiting coroutine's strand, so it can't fall
+// between that coroutine's check and its wait.
+void Waiter::Notify() {
+  if (notified_.exchange(true)) return;
+  asio::post(timer_.get_executor(),
+             [self = shared_from_this()] { self->timer_.cancel(); });
+}
+
+asio::awaitable<std::shared_ptr<Waiter>> MakeWaiter() {
+  co_return std::make_shared<Waiter>(co_await asio::this_coro::executor);
+}
+
+}  // namespace hemlockward::entry
--- a/src/peer/message.cc
+++ b/src/peer/message.cc
@@ -58,9 +58,9 @@
   }
 }
 
-gen::Message ErrorMessage(std::string reason) {
+gen::Message ErrorMessage(const std::string& reason) {
   gen::Error error;
-  error.__set_reason(std::move(reason));
+  error.__set_reason(reason);
   gen::Message message;
   message.__set_error(error);
   return message;
--- a/src/peer/transport.h
+++ b/src/peer/transport.h
@@ -43,7 +43,7 @@
 /// kind that a newer release added has no member set.
 tl::expected<gen::Message, std::string> DecodeMessage(std::string_view bytes);
 /// A message that says why a call was refused.
-gen::Message ErrorMessage(std::string reason);
+gen::Message ErrorMessage(const std::string& reason);
 
 using PeerHandler =
     std::function<boost::asio::awaitable<gen::Message>(gen::Message)>;
