--- /dev/null
+++ b/src/control/reserve.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/types.h"
+#include "control/budget.h"
+
+/// How much spare capacity is needed now, and the demand that it is learned
+/// from.
+namespace hemlockward::control {
+
+/// Demand of one pool in VMs (slots in use and waiting over slots of a VM).
+struct PoolDemand {
+  double now = 0;
+  /// Highest demand seen in each hour of the UTC day; decays day by day.
+  std::array<double, 24> peak_by_hour{};
+  base::WallMillis observed{};
+};
+
+using Demand = std::map<base::PoolId, PoolDemand>;
+
+/// Notes the demand of one pool at `now`.
+void ObserveDemand(Demand& demand, const base::PoolId& pool, double vms,
+                   base::WallMillis now);
+
+/// VMs that `pool` is expected to need at most from `now` to `now + horizon`.
+double ExpectedDemand(const Demand& demand, const base::PoolId& pool,
+                      base::WallMillis now, base::Millis horizon);
+
+struct ReserveSettings {
+  base::PoolId spare_pool;  ///< Where spare VMs wait; empty: none.
+  base::Millis horizon = base::Hours(2);  ///< Demand is looked ahead so far.
+};
+
+/// What one pool needs, in VMs.
+struct PoolReserve {
+  base::PoolId pool;
+  int target = 0;      ///< Size that carries floor and expected demand.
+  int worst_rack = 0;  ///< VMs lost when its fullest rack fails.
+  int lack = 0;        ///< Missing for the floor to stand when that rack fails.
+};
+
+/// Spare to hold for all pools together.
+struct ReservePlan {
+  std::vector<PoolReserve> pools;  ///< Ordered by pool id.
+  int for_rack = 0;    ///< To make good the loss of the worst single rack.
+  int for_demand = 0;  ///< For peaks above the present sizes, shared.
+  int hold = 0;        ///< VMs to hold in reserve altogether.
+  std::string reason;  ///< What the amount comes from.
+};
+
+/// Linear in the number of VMs.
+ReservePlan PlanReserve(const std::vector<PoolHealth>& pools,
+                        const Demand& demand, const ReserveSettings& settings,
+                        base::WallMillis now);
+
+/// Target size of one pool: its least size, or more for expected demand, at
+/// most its largest size.
+int TargetSize(const PoolHealth& pool, const Demand& demand,
+               base::Millis horizon, base::WallMillis now);
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/wave.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/fleet.h"
+#include "control/budget.h"
+#include "control/planner.h"
+#include "control/reserve.h"
+
+/// Which VMs a maintenance wave takes out now.
+namespace hemlockward::control {
+
+struct WaveSettings {
+  JudgeSettings judge;
+  base::Millis return_limit = base::Minutes(15);  ///< Out so long: failed.
+  base::Millis canary_soak = base::Minutes(3);  ///< First VM up so long first.
+  base::Millis cycle = base::Minutes(6);  ///< Expected from drain to verdict.
+  int growth = 4;         ///< VMs out at once per VM that came back well.
+  int stop_percent = 10;  ///< Failed share that stops a wave.
+  int stop_failures = 2;  ///< Fewer failures never stop it, but the canary's.
+};
+
+/// Where a wave stands.
+struct WaveProgress {
+  int total = 0;    ///< VMs in its pools that aren't lost.
+  int done = 0;     ///< Taken out and back in service.
+  int out = 0;      ///< Taken out and not back yet.
+  int failed = 0;   ///< Taken out and not back in time, or down since.
+  int skipped = 0;  ///< Down by themselves; left to repair.
+  int todo = 0;
+};
+
+/// A change of the wave's row that the decision asks for.
+enum class WaveVerdict : std::uint8_t { kGoOn, kNarrowed, kStop, kFinished };
+
+struct WaveStep {
+  base::WaveId wave;
+  WaveVerdict verdict = WaveVerdict::kGoOn;
+  std::string reason;  ///< Of the verdict, or what limits the width now.
+  WaveProgress progress;
+  std::vector<Decision> take_out;  ///< All of them Action::kTakeOut.
+};
+
+/// The next step of every wave that is neither stopped nor finished, oldest
+/// first. A VM is taken out at most once per wave. Linear in the number of VMs
+/// but for sorting. Deterministic.
+std::vector<WaveStep> NextWaveSteps(const base::FleetView& view,
+                                    const Verdicts& verdicts,
+                                    const Demand& demand,
+                                    const Accounts& accounts,
+                                    const WaveSettings& settings,
+                                    base::WallMillis now);
+
+/// What a wave would take, said before its start.
+struct WavePreview {
+  int vms = 0;
+  base::Millis duration{};      ///< Expected, from `now`.
+  int moves = 0;                ///< VMs lent to widen the wave.
+  int reserve = 0;              ///< VMs held in reserve during the wave.
+  base::PoolId tightest_pool;   ///< The pool that finishes last.
+  std::string tightest_reason;  ///< What limits that pool's width.
+  bool possible = true;         ///< False: some pool allows no VM out ever.
+};
+
+WavePreview PreviewWave(const base::FleetView& view, const Verdicts& verdicts,
+                        const Demand& demand, const Accounts& accounts,
+                        const base::WaveRow& wave, const WaveSettings& settings,
+                        const ReserveSettings& reserve, base::WallMillis now);
+
+/// True when `minute` of the UTC day lies in the team's maintenance hours.
+bool InMaintenanceHours(const base::ServiceDocument& document, int minute);
+
+}  // namespace hemlockward::control
