Fleet decisions, first working version: documents, budget, reserve, planner, waves

Cause: the control runtime needs something that decides. All are pure functions of view, verdicts, demand and now.

--- a/src/control/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace hemlockward::control {}
--- a/src/control/wave.h
+++ b/src/control/wave.h
@@ -15,6 +15,7 @@
   JudgeSettings judge;
   base::Millis return_limit = base::Minutes(15);  ///< Out so long: failed.
   base::Millis canary_soak = base::Minutes(3);  ///< First VM up so long first.
+  base::Millis failure_watch = base::Hours(1);  ///< Down so soon after: failed.
   base::Millis cycle = base::Minutes(6);  ///< Expected from drain to verdict.
   int growth = 4;         ///< VMs out at once per VM that came back well.
   int stop_percent = 10;  ///< Failed share that stops a wave.
@@ -68,6 +69,16 @@
                         const base::WaveRow& wave, const WaveSettings& settings,
                         const ReserveSettings& reserve, base::WallMillis now);
 
+/// The oldest active wave that includes `pool`; null when there is none.
+const base::WaveRow* ActiveWave(const base::FleetView& view,
+                                const base::PoolId& pool);
+
+/// True when `wave` still has to take `row` out: neither it nor a wave started
+/// after it has. A later wave's maintenance counts, so that a VM that changes
+/// pools under two waves is never taken out twice by one of them.
+bool WaveWants(const base::FleetView& view, const base::WaveRow& wave,
+               const base::VmRow& row);
+
 /// True when `minute` of the UTC day lies in the team's maintenance hours.
 bool InMaintenanceHours(const base::ServiceDocument& document, int minute);
 
