--- a/bench/load.cc
+++ b/bench/load.cc
@@ -3,6 +3,10 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -31,7 +35,7 @@
         caller_(http_, settings, report_) {}
 
   asio::awaitable<void> Run() {
-    start_ = clock_.Now();
+    start_ = LoadClock::now();
     const int services = static_cast<int>(settings_.services.size());
     generators_ = services;
     for (int i = 0; i < services; ++i) pool_.Spawn("arrivals", Generate(i));
@@ -42,7 +46,9 @@
       }
     }
     if (isatty(STDERR_FILENO) != 0) std::cerr << "\n";
-    const Millis elapsed = clock_.Now() - start_;
+    const Millis elapsed{std::chrono::duration_cast<std::chrono::milliseconds>(
+                             LoadClock::now() - start_)
+                             .count()};
     if (!settings_.targets.empty()) {
       co_await kernel::Sleep(kSettlePause);
       const auto runs = co_await caller_.AskTargets();
@@ -60,17 +66,23 @@
   static constexpr Millis kProgressPause{200};
   static constexpr Millis kSettlePause = base::Seconds(1);
 
+  static asio::awaitable<void> SleepUntil(LoadClock::time_point at) {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_at(at);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
   // Sends one service's requests, each at its intended time.
   asio::awaitable<void> Generate(int service) {
     Arrivals arrivals(settings_, service);
     for (auto at = arrivals.Next(); at; at = arrivals.Next()) {
-      const Millis wait = start_ + *at - clock_.Now();
-      if (wait.count > 0) co_await kernel::Sleep(wait);
+      const LoadClock::time_point intended = start_ + *at;
+      co_await SleepUntil(intended);
       while (caller_.in_progress() >= settings_.max_in_progress) {
         co_await kernel::Sleep(Millis{1});
       }
       LoadRequest request = arrivals.Make();
-      request.intended = start_ + *at;
+      request.intended = intended;
       caller_.Begin();
       pool_.Spawn("request", caller_.Send(std::move(request)));
     }
@@ -79,11 +91,10 @@
 
   kernel::WorkerPool& pool_;
   const LoadSettings& settings_;
-  base::SystemClock clock_;
   LoadReport report_;
   kernel::HttpClient http_;
   LoadCaller caller_;
-  Millis start_;
+  LoadClock::time_point start_;
   std::atomic<int> generators_{0};
   bool checked_ = true;
 };
--- a/bench/load_caller.cc
+++ b/bench/load_caller.cc
@@ -25,6 +25,10 @@
 constexpr int kMostQuestions = 5;  // About a key whose outcome is unknown.
 constexpr int kOk = 200;
 
+bool IsRight(const LoadRequest& request, const HttpResponse& answer) {
+  return answer.body == standin::ExpectedAnswer(request.service, request.body);
+}
+
 // What one answer shows; nothing when the outcome is still open.
 std::optional<Verdict> Judge(const LoadRequest& request,
                              const HttpResponse& answer) {
@@ -43,9 +47,15 @@
       break;
   }
   if (answer.status != kOk) return Verdict::kFailed;
-  const bool right =
-      answer.body == standin::ExpectedAnswer(request.service, request.body);
-  return right ? Verdict::kDone : Verdict::kWrong;
+  return IsRight(request, answer) ? Verdict::kDone : Verdict::kWrong;
+}
+
+// The same for an answer of a target called directly.
+std::optional<Verdict> JudgeDirect(const LoadRequest& request,
+                                   const HttpResponse& answer) {
+  if (!answer.Header("Hemlockward-Refused").empty()) return Verdict::kNotRun;
+  if (answer.status != kOk) return Verdict::kFailed;
+  return IsRight(request, answer) ? Verdict::kDone : Verdict::kWrong;
 }
 
 void AddCounts(const json::object& counts, std::map<std::string, int>& sums) {
@@ -101,7 +111,9 @@
     const LoadRequest& request) {
   HttpRequest post;
   post.method = "POST";
-  post.target = "/v1/services/" + request.service + "/requests";
+  post.target = settings_.direct
+                    ? "/run/" + request.service
+                    : "/v1/services/" + request.service + "/requests";
   post.body = request.body;
   const std::string timeout = std::to_string(settings_.timeout.count);
   const std::string request_class(base::ToText(request.request_class));
@@ -113,6 +125,11 @@
   if (!request.key.empty()) {
     post.headers.push_back({"Idempotency-Key", request.key});
   }
+  if (settings_.direct) {
+    const std::lock_guard lock(mutex_);
+    post.headers.push_back(
+        {"Hemlockward-Request-Id", base::RandomHex(random_)});
+  }
   co_return co_await Call(std::move(post));
 }
 
@@ -173,7 +190,8 @@
     report_.SaidNotRun(keyed ? request.key : request_id, keyed);
     if (n < settings_.not_run_retries) co_await kernel::Sleep(kPause);
   }
-  const Millis latency = clock_.Now() - request.intended;
+  const auto latency =
+      std::chrono::duration_cast<Micros>(LoadClock::now() - request.intended);
   const bool has_key = !request.key.empty();
   const std::string& name = has_key ? request.key : request_id;
   report_.Finished(request.request_class, verdict, latency, name, has_key);
@@ -196,7 +214,8 @@
     const auto answer = co_await Post(request);
     if (!answer) continue;
     request_id = std::string(answer->Header("Hemlockward-Request-Id"));
-    const auto verdict = Judge(request, *answer);
+    const auto verdict = settings_.direct ? JudgeDirect(request, *answer)
+                                          : Judge(request, *answer);
     const bool open = !verdict || *verdict == Verdict::kUnknown;
     if (!open) co_return *verdict;
     if (!request.key.empty()) co_return co_await AskAgain(request, deadline);
--- a/bench/load_plan.cc
+++ b/bench/load_plan.cc
@@ -24,6 +24,7 @@
                   Need::kRequired);
   reader.TextList("services", &services, "services to call", Need::kRequired);
   reader.TextList("targets", &targets, "one IP:port per target process");
+  reader.Flag("direct", &direct, "call targets, given as entries, directly");
   reader.Real("rate", &rate, "mean requests a second", 0.1, kMost);
   reader.Duration("duration", &duration, "time of sending", {1}, longest);
   reader.Duration("burst", &burst, "length of bursts of 5 times the mean", {0},
@@ -59,7 +60,7 @@
       random_(static_cast<std::uint64_t>(settings.seed * 1000 + service)) {}
 
 // Draws at the peak rate and keeps the share that the present rate is of it.
-std::optional<Millis> Arrivals::Next() {
+std::optional<Micros> Arrivals::Next() {
   const int count = static_cast<int>(settings_.services.size());
   const double peak_factor = settings_.burst.count > 0 ? kBurstFactor : 1;
   const double peak_per_ms = settings_.rate / count / 1000 * peak_factor;
@@ -70,7 +71,10 @@
     const Millis at{static_cast<std::int64_t>(elapsed_ms_)};
     if (at >= settings_.duration) return std::nullopt;
     const double factor = BurstFactor(settings_.burst, at, service_, count);
-    if (draw(random_) < factor) return at;
+    if (draw(random_) < factor) {
+      constexpr double kMicrosPerMilli = 1000;
+      return Micros(static_cast<std::int64_t>(elapsed_ms_ * kMicrosPerMilli));
+    }
   }
 }
 
--- a/bench/load_plan.h
+++ b/bench/load_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,11 +14,17 @@
 /// What the load tool sends and when, as a function of its settings and seed.
 namespace hemlockward::bench {
 
+/// Times of the load tool. Latencies on loopback are below a millisecond, so
+/// that base::Millis is too coarse here.
+using LoadClock = std::chrono::steady_clock;
+using Micros = std::chrono::microseconds;
+
 struct LoadSettings {
   std::vector<std::string> entries;   ///< `IP:port` of each entry.
   std::vector<std::string> services;  ///< Each asks in turn.
   std::vector<std::string> targets;   ///< One `IP:port` per target process.
-  double rate = 100;                  ///< Mean requests a second, all services.
+  bool direct = false;  ///< `entries` are targets, called without an entry.
+  double rate = 100;    ///< Mean requests a second, all services.
   base::Millis duration = base::Seconds(10);
   base::Millis burst{0};  ///< Length of a burst; 0: a steady rate.
   base::Millis timeout = base::Seconds(10);   ///< Deadline given to the entry.
@@ -41,7 +48,7 @@
   bool repeatable = true;
   std::string key;  ///< Empty when repeatable.
   std::string body;
-  base::Millis intended;  ///< When it should have been sent.
+  LoadClock::time_point intended;  ///< When it should have been sent.
 };
 
 /// Factor of the mean rate at `elapsed`: 5 within the service's burst, a
@@ -56,7 +63,7 @@
  public:
   Arrivals(const LoadSettings& settings, int service);
   /// Time of the next request since the start; nothing after the end.
-  std::optional<base::Millis> Next();
+  std::optional<Micros> Next();
   /// The request that belongs to an arrival, without a key.
   LoadRequest Make();
 
--- a/bench/load_report.cc
+++ b/bench/load_report.cc
@@ -1,6 +1,5 @@
 #include "bench/load_report.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/histogram.hpp>
 #include <boost/json/object.hpp>
@@ -18,8 +17,8 @@
 using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
 
 auto MakeLatencies() {
-  constexpr int kBins = 700;              // 3.3 % a bin.
-  constexpr double kLowest = 0.1;         // Milliseconds.
+  constexpr int kBins = 800;              // 2.3 % a bin.
+  constexpr double kLowest = 0.01;        // Milliseconds.
   constexpr double kHighest = 1'000'000;  // Milliseconds.
   return bh::make_histogram(LogAxis(kBins, kLowest, kHighest));
 }
@@ -100,14 +99,14 @@
 }
 
 void LoadReport::Finished(base::RequestClass request_class, Verdict verdict,
-                          base::Millis latency, std::string_view name,
-                          bool has_key) {
+                          Micros latency, std::string_view name, bool has_key) {
   const std::lock_guard lock(state_->mutex);
   ++state_->verdicts[static_cast<std::size_t>(verdict)];
   if (verdict != Verdict::kDone) return;
   state_->done.push_back({std::string(name), has_key});
   auto& bins = state_->latencies[static_cast<std::size_t>(request_class)];
-  bins(static_cast<double>(std::max<std::int64_t>(latency.count, 1)));
+  const std::chrono::duration<double, std::milli> millis = latency;
+  bins(millis.count());
 }
 
 void LoadReport::Compare(const TargetRuns& runs) {
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/types.h"
+#include "bench/load_plan.h"
 
 namespace hemlockward::bench {
 
@@ -49,7 +50,7 @@
   void SaidNotRun(std::string_view name, bool has_key);
   /// Notes the end of a request; `name` as above.
   void Finished(base::RequestClass request_class, Verdict verdict,
-                base::Millis latency, std::string_view name, bool has_key);
+                Micros latency, std::string_view name, bool has_key);
   /// Counts doubled runs, `not-run` that ran and `done` that didn't.
   void Compare(const TargetRuns& runs);
 
--- a/tests/load_test.cc
+++ b/tests/load_test.cc
@@ -44,7 +44,7 @@
     settings.burst = burst;
     Arrivals arrivals(settings, 0);
     int n = 0;
-    Millis last{0};
+    Micros last{0};
     while (const auto at = arrivals.Next()) {
       EXPECT_GE(*at, last);
       last = *at;
@@ -106,7 +106,7 @@
     LoadReport report;
     report.Sent();
     if (it.verdict == Verdict::kNotRun) report.SaidNotRun("key", true);
-    report.Finished(RequestClass::kNormal, it.verdict, {5}, "key", true);
+    report.Finished(RequestClass::kNormal, it.verdict, Micros(5), "key", true);
     TargetRuns runs;
     if (it.runs > 0) runs.keys["key"] = it.runs;
     report.Compare(runs);
@@ -118,7 +118,8 @@
   LoadReport report;
   report.Sent();
   report.SaidNotRun("id-1", false);
-  report.Finished(RequestClass::kNormal, Verdict::kDone, {5}, "id-2", false);
+  report.Finished(RequestClass::kNormal, Verdict::kDone, Micros(5), "id-2",
+                  false);
   TargetRuns runs;
   runs.request_ids = {{"id-1", 1}, {"id-2", 1}};
   report.Compare(runs);
@@ -128,7 +129,8 @@
 TEST(LoadReportTest, QuantilesAreWithinABin) {
   LoadReport report;
   for (int i = 1; i <= 1000; ++i) {
-    report.Finished(RequestClass::kUrgent, Verdict::kDone, {i}, "x", true);
+    report.Finished(RequestClass::kUrgent, Verdict::kDone, Micros(i * 1000),
+                    "x", true);
   }
   const std::string summary = report.Summary({1});
   EXPECT_NE(summary.find("\"done\":1000"), std::string::npos) << summary;
