--- a/src/base/fleet.cc
+++ b/src/base/fleet.cc
@@ -340,7 +340,8 @@
     rows.push_back(json::object{{"key", it.key}, {"value", it.value}});
   }
   return json::serialize(json::value{{"revision", U64(record.revision)},
-                                     {"rows", std::move(rows)}});
+                                     {"rows", std::move(rows)},
+                                     {"nonce", record.nonce}});
 }
 
 tl::expected<ChangeRecord, CodecError> DecodeChangeRecord(
@@ -348,6 +349,7 @@
   return Guarded<ChangeRecord>(text, [](const json::object& object) {
     ChangeRecord record;
     record.revision = ReadU64(object.at("revision"));
+    if (object.contains("nonce")) record.nonce = ReadText(object, "nonce");
     for (const json::value& it : object.at("rows").as_array()) {
       const json::object& row = it.as_object();
       record.rows.push_back({ReadText(row, "key"), ReadText(row, "value")});
--- /dev/null
+++ b/src/control/shard_lease.cc
@@ -0,0 +1,204 @@
+#include "control/shard_lease.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+#include <exception>
+#include <utility>
+
+#include "base/random.h"
+
+namespace hemlockward::control {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string Text(const json::object& object, std::string_view key) {
+  return json::value_to<std::string>(object.at(key));
+}
+
+std::uint64_t Number(const json::object& object, std::string_view key) {
+  return object.at(key).to_number<std::uint64_t>();
+}
+
+const std::string& ValueOf(const platform::Transaction& transaction,
+                           const std::string& key) {
+  static const std::string none;
+  for (const platform::Write& it : transaction.writes) {
+    if (it.key == key) return it.value;
+  }
+  return none;
+}
+
+}  // namespace
+
+std::string Encode(const LeaseRecord& record) {
+  return json::serialize(json::value{{"holder", record.holder},
+                                     {"epoch", record.epoch},
+                                     {"nonce", record.nonce}});
+}
+
+tl::expected<LeaseRecord, base::CodecError> DecodeLeaseRecord(
+    std::string_view text) {
+  try {
+    const json::value value = json::parse(text);
+    const json::object& object = value.as_object();
+    return LeaseRecord{Text(object, "holder"), Number(object, "epoch"),
+                       Text(object, "nonce")};
+  } catch (const std::exception& e) {
+    return tl::unexpected(base::CodecError{e.what()});
+  }
+}
+
+std::string ShardKey(int shard) { return "shard/" + std::to_string(shard); }
+std::string EpochKey(int shard) { return "epoch/" + std::to_string(shard); }
+
+int ShardOf(const base::PoolId& pool, int shard_count) {
+  const auto n = static_cast<std::uint64_t>(shard_count);
+  return static_cast<int>(base::StableHash(pool.value) % n);
+}
+
+ShardLease::ShardLease(int shard, std::string holder, base::Millis lease)
+    : shard_(shard), holder_(std::move(holder)), lease_(lease) {}
+
+// A row with another version than before starts a new watch. The row itself
+// decides what became of a write whose answer was lost.
+void ShardLease::Observe(base::Millis now, const platform::Row& row) {
+  if (!unchanged_since_ || row.version != version_) unchanged_since_ = now;
+  version_ = row.version;
+  seen_ = DecodeLeaseRecord(row.value).value_or(LeaseRecord{});
+  known_ = true;
+  const std::optional<Attempt> attempt = std::exchange(unsettled_, {});
+  const bool settled = attempt && attempt->nonce == seen_.nonce;
+  if (settled) return Settled(attempt->sent);
+  const bool still_mine =
+      held_ && seen_.holder == holder_ && seen_.epoch == held_->epoch;
+  if (!still_mine) Abandon();
+}
+
+// `seen_` is what this process wrote itself with a call sent at `sent`. A new
+// epoch was written together with its row, so it has the row's version.
+void ShardLease::Settled(base::Millis sent) {
+  if (seen_.holder != holder_) return Abandon();
+  const bool renewed = held_ && held_->epoch == seen_.epoch;
+  const platform::RowVersion epoch_version =
+      renewed ? held_->epoch_version : version_;
+  held_ = Fence{shard_, seen_.epoch, epoch_version,
+                sent + base::Millis{lease_.count / 2}};
+}
+
+bool ShardLease::MayClaim(base::Millis now, bool preferred) const {
+  if (seen_.holder.empty() && preferred) return true;
+  const base::Millis wait = preferred ? lease_ : lease_ * 2;
+  return unchanged_since_ && now - *unchanged_since_ >= wait;
+}
+
+platform::Transaction ShardLease::Build(const LeaseRecord& record,
+                                        bool new_epoch) const {
+  platform::Transaction transaction;
+  transaction.nonce = record.nonce;
+  transaction.conditions = {{ShardKey(shard_), version_}};
+  transaction.writes = {{ShardKey(shard_), Encode(record)}};
+  if (new_epoch) {
+    transaction.writes.push_back(
+        {EpochKey(shard_), std::to_string(record.epoch)});
+  }
+  return transaction;
+}
+
+std::optional<platform::Transaction> ShardLease::NextWrite(
+    base::Millis now, bool preferred, std::string nonce) const {
+  if (!known_) return std::nullopt;
+  if (const auto fence = Held(now)) {
+    return Build({holder_, fence->epoch, std::move(nonce)}, false);
+  }
+  if (!MayClaim(now, preferred)) return std::nullopt;
+  return Build({holder_, seen_.epoch + 1, std::move(nonce)}, true);
+}
+
+std::optional<platform::Transaction> ShardLease::Release(
+    base::Millis now, std::string nonce) const {
+  const auto fence = Held(now);
+  if (!fence || !known_) return std::nullopt;
+  return Build({"", fence->epoch, std::move(nonce)}, false);
+}
+
+void ShardLease::Committed(base::Millis sent,
+                           const platform::Transaction& transaction,
+                           platform::RowVersion version) {
+  const std::string& value = ValueOf(transaction, ShardKey(shard_));
+  seen_ = DecodeLeaseRecord(value).value_or(LeaseRecord{});
+  version_ = version;
+  unchanged_since_ = sent;
+  unsettled_.reset();
+  Settled(sent);
+}
+
+void ShardLease::Failed(base::Millis sent,
+                        const platform::Transaction& transaction) {
+  known_ = false;
+  unsettled_ = Attempt{sent, transaction.nonce};
+}
+
+std::optional<Fence> ShardLease::Held(base::Millis now) const {
+  if (!held_ || now >= held_->valid_until) return std::nullopt;
+  return held_;
+}
+
+std::string Encode(const ControlRow& row) {
+  return json::serialize(json::value{{"holder", row.holder},
+                                     {"http_address", row.http_address},
+                                     {"counter", row.counter}});
+}
+
+tl::expected<ControlRow, base::CodecError> DecodeControlRow(
+    std::string_view text) {
+  try {
+    const json::value value = json::parse(text);
+    const json::object& object = value.as_object();
+    return ControlRow{Text(object, "holder"), Text(object, "http_address"),
+                      Number(object, "counter")};
+  } catch (const std::exception& e) {
+    return tl::unexpected(base::CodecError{e.what()});
+  }
+}
+
+void ControlWatch::Observe(base::Millis now,
+                           const std::vector<platform::Row>& rows) {
+  std::map<std::string, Seen> next;
+  for (const platform::Row& it : rows) {
+    const auto row = DecodeControlRow(it.value);
+    if (!row) continue;
+    const auto before = seen_.find(it.key);
+    const bool same =
+        before != seen_.end() && before->second.version == it.version;
+    const base::Millis since = same ? before->second.since : now;
+    next[it.key] = {it.version, since, row->holder};
+  }
+  seen_ = std::move(next);
+}
+
+std::vector<std::string> ControlWatch::Alive(base::Millis now) const {
+  std::vector<std::string> alive;
+  for (const auto& [key, it] : seen_) {
+    if (now - it.since < lifetime_) alive.push_back(it.holder);
+  }
+  return alive;
+}
+
+std::string PreferredHolder(int shard, const std::vector<std::string>& alive) {
+  std::string best;
+  std::uint64_t best_score = 0;
+  for (const std::string& it : alive) {
+    const std::uint64_t score =
+        base::StableHash(it, static_cast<std::uint64_t>(shard) + 1);
+    if (!best.empty() && score <= best_score) continue;
+    best = it;
+    best_score = score;
+  }
+  return best;
+}
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/vm_steps.cc
@@ -0,0 +1,123 @@
+#include "control/vm_steps.h"
+
+#include <utility>
+
+namespace hemlockward::control {
+
+using base::VmPurpose;
+using base::VmRow;
+using base::VmState;
+using platform::ListedState;
+
+namespace {
+
+VmStep Wait(std::string reason) { return {VmAct::kNone, {}, std::move(reason)}; }
+
+VmStep WriteState(const VmRow& row, VmState state, base::WallMillis now,
+                  std::string reason) {
+  VmStep step{VmAct::kWrite, row, std::move(reason)};
+  step.next.state = state;
+  step.next.changed = now;
+  return step;
+}
+
+VmStep JoinDestination(const VmRow& row, base::WallMillis now) {
+  VmStep step = WriteState(row, VmState::kMember, now,
+                           "empty, joins " + row.destination.value);
+  step.next.pool = row.destination;
+  step.next.purpose = VmPurpose::kNone;
+  step.next.destination = {};
+  return step;
+}
+
+VmStep FromEmpty(const VmRow& row, const VmFacts& facts,
+                 base::WallMillis now) {
+  switch (row.purpose) {
+    case VmPurpose::kMove:
+      return JoinDestination(row, now);
+    case VmPurpose::kMaintain:
+      if (!facts.drained) return {VmAct::kDrain, row, "empty, drain it"};
+      return WriteState(row, VmState::kRebooting, now,
+                        "drained, intent to reboot");
+    case VmPurpose::kNone:
+      if (facts.listed != ListedState::kLive) {
+        return Wait("empty, the platform is taking it away");
+      }
+      return WriteState(row, VmState::kReturning, now, "listed as live again");
+  }
+  return Wait("unknown purpose");
+}
+
+}  // namespace
+
+VmStep NextVmStep(const VmRow& row, const VmFacts& facts,
+                  base::WallMillis now) {
+  if (facts.listed == ListedState::kGone && row.state != VmState::kLost) {
+    VmStep step = WriteState(row, VmState::kLost, now, "listed as gone");
+    step.next.purpose = VmPurpose::kNone;
+    step.next.destination = {};
+    return step;
+  }
+  switch (row.state) {
+    case VmState::kMember:
+      if (facts.listed != ListedState::kLeaving) return Wait("in service");
+      return WriteState(row, VmState::kLeaving, now, "listed as leaving");
+    case VmState::kLeaving:
+      if (!facts.without_work) return Wait("requests may still reach it");
+      return WriteState(row, VmState::kEmpty, now,
+                        "no entry can send it work or has any in progress");
+    case VmState::kEmpty:
+      return FromEmpty(row, facts, now);
+    case VmState::kRebooting:
+      if (!facts.rebooted) return {VmAct::kReboot, row, "intent committed"};
+      return WriteState(row, VmState::kReturning, now, "reboot accepted");
+    case VmState::kReturning:
+      return Wait("waits for the monitor to call it up");
+    case VmState::kLost:
+      if (facts.listed != ListedState::kLive) return Wait("gone");
+      return WriteState(row, VmState::kReturning, now, "listed as live again");
+  }
+  return Wait("unknown state");
+}
+
+std::optional<VmRow> Carry(const Decision& decision, const VmRow& row,
+                           base::WallMillis now) {
+  VmRow next = row;
+  next.changed = now;
+  if (decision.action == Action::kAdmit) {
+    if (row.state != VmState::kReturning) return std::nullopt;
+    next.state = VmState::kMember;
+    next.purpose = VmPurpose::kNone;
+    return next;
+  }
+  if (row.state != VmState::kMember) return std::nullopt;
+  next.state = VmState::kLeaving;
+  if (decision.action == Action::kMove) {
+    next.purpose = VmPurpose::kMove;
+    next.destination = decision.destination;
+    return next;
+  }
+  if (row.wave == decision.wave) return std::nullopt;  // Once per wave.
+  next.purpose = VmPurpose::kMaintain;
+  next.wave = decision.wave;
+  return next;
+}
+
+VmRow NewVmRow(const platform::ListedVm& listed, const base::PoolId& pool,
+               base::WallMillis now) {
+  VmRow row;
+  row.vm = listed.vm;
+  row.pool = pool;
+  row.zone = listed.zone;
+  row.rack = listed.rack;
+  row.address = listed.address;
+  row.changed = now;
+  return row;
+}
+
+std::string ActNonce(std::string_view act, const base::VmId& vm,
+                     platform::RowVersion version) {
+  return std::string(act) + "-" + vm.value + "-" + std::to_string(version);
+}
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/vm_steps.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/fleet.h"
+#include "control/planner.h"
+#include "platform/platform.h"
+
+/// The life of one VM between two pools or through maintenance, one step at a
+/// time. Pure; see VmState for the states.
+namespace hemlockward::control {
+
+/// What is known of a VM beyond its row.
+struct VmFacts {
+  /// No entry can send it work under its present row, and none has any in
+  /// progress (see peer::MoveGate).
+  bool without_work = false;
+  /// The platform accepted the drain, or the reboot, under the nonce of the
+  /// present row.
+  bool drained = false;
+  bool rebooted = false;
+  std::optional<platform::ListedState> listed;  ///< Empty: not in the list.
+};
+
+/// What to do next with a VM.
+enum class VmAct : std::uint8_t {
+  kNone,    ///< Wait.
+  kWrite,   ///< Commit `next` in place of the present row.
+  kDrain,   ///< Ask the platform to stop it gracefully.
+  kReboot,  ///< Ask the platform to reboot it; the intent is committed.
+};
+
+struct VmStep {
+  VmAct act = VmAct::kNone;
+  base::VmRow next;
+  std::string reason;
+};
+
+VmStep NextVmStep(const base::VmRow& row, const VmFacts& facts,
+                  base::WallMillis now);
+
+/// The row after a planner's or wave's decision. Empty when the VM is no
+/// longer in the state that the decision was made for.
+std::optional<base::VmRow> Carry(const Decision& decision,
+                                 const base::VmRow& row, base::WallMillis now);
+
+/// The row of a VM that the list shows for the first time.
+base::VmRow NewVmRow(const platform::ListedVm& listed,
+                     const base::PoolId& pool, base::WallMillis now);
+
+/// The nonce of an act on a VM. It comes from the version of the row that
+/// holds the intent, so that every holder of the shard uses the same one.
+std::string ActNonce(std::string_view act, const base::VmId& vm,
+                     platform::RowVersion version);
+
+}  // namespace hemlockward::control
