--- a/src/base/fleet.cc
+++ b/src/base/fleet.cc
@@ -219,7 +219,8 @@
                                      {"zone", row.zone.value},
                                      {"rack", row.rack.value},
                                      {"address", row.address},
-                                     {"changed_ms", row.changed.count}});
+                                     {"changed_ms", row.changed.count},
+                                     {"reason", row.reason}});
 }
 
 tl::expected<VmRow, CodecError> DecodeVmRow(std::string_view text) {
@@ -236,6 +237,7 @@
     row.rack = RackId(ReadText(object, "rack"));
     row.address = ReadText(object, "address");
     row.changed = {ReadI64(object, "changed_ms")};
+    if (object.contains("reason")) row.reason = ReadText(object, "reason");
     return row;
   });
 }
--- a/src/base/fleet.h
+++ b/src/base/fleet.h
@@ -44,6 +44,7 @@
   RackId rack;
   std::string address;   ///< `IP:port` of its worker.
   WallMillis changed{};  ///< When the row was last written, for accounts only.
+  std::string reason;    ///< Why it is in this state, for operators.
 };
 
 /// One class's share of a team's capacity.
--- /dev/null
+++ b/src/control/fleet_runner.h
@@ -0,0 +1,363 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/fleet.h"
+#include "base/log.h"
+#include "control/change_writer.h"
+#include "control/entry_contacts.h"
+#include "control/fleet_state.h"
+#include "control/lease_keeper.h"
+#include "control/planner.h"
+#include "control/shard_lease.h"
+#include "control/vm_steps.h"
+#include "control/wave.h"
+#include "peer/view_sync.h"
+#include "platform/platform.h"
+
+/// Carries out, for the shards that this process holds, what the pure
+/// decisions ask for.
+namespace hemlockward::control {
+
+/// One Tick at a time. Each tick decides on the table's newest rows; a write
+/// that was decided on the whole view commits only directly after it. Nothing
+/// is taken out while the table can't be read.
+template <platform::Table TableT, platform::VmService VmsT,
+          base::ClockSource Clock>
+class FleetRunner {
+ public:
+  FleetRunner(TableT& table, VmsT& vms, const Clock& clock,
+              peer::ViewStore& store, ChangeWriter<TableT>& writer,
+              LeaseKeeper<TableT, Clock>& leases, EntryContacts& contacts,
+              FleetState& state, RunnerSettings settings)
+      : table_(table),
+        vms_(vms),
+        clock_(clock),
+        store_(store),
+        writer_(writer),
+        leases_(leases),
+        contacts_(contacts),
+        state_(state),
+        settings_(std::move(settings)) {}
+
+  /// One round; the view was polled just before.
+  boost::asio::awaitable<void> Tick() {
+    TakeFences();
+    if (fences_.empty()) co_return;
+    co_await AdvanceVms();
+    co_await AddListedVms();
+    co_await CarryOutPlan();
+    co_await CarryOutWaves();
+  }
+
+ private:
+  // Facts about the stay of a VM under one version of its row.
+  struct Stay {
+    platform::RowVersion version = 0;
+    base::Revision revision = 0;  // At or after the row's own revision.
+    bool drained = false;
+    bool rebooted = false;
+  };
+
+  struct Pending {
+    VmStep step;
+    platform::Row row;
+    Fence fence;
+  };
+
+  // The leases that this tick acts under. A lease won later in the tick isn't
+  // used: what was read before it was won may be stale.
+  void TakeFences() {
+    fences_.clear();
+    for (int i = 0; i < settings_.shards; ++i) {
+      if (const auto fence = leases_.Held(i)) fences_.emplace(i, *fence);
+    }
+  }
+
+  [[nodiscard]] const Fence* FenceOf(const base::PoolId& pool) const {
+    const auto it = fences_.find(ShardOf(pool, settings_.shards));
+    return it == fences_.end() ? nullptr : &it->second;
+  }
+
+  // The VMs of held pools that may have a step to take.
+  std::vector<base::VmId> VmsUnderWay(const base::FleetView& view) {
+    std::vector<base::VmId> found;
+    for (const auto& [id, row] : view.vms) {
+      if (FenceOf(row.pool) == nullptr) continue;
+      if (NextVmStep(row, FactsOf(row, nullptr), clock_.Wall()).act ==
+              VmAct::kNone &&
+          row.state != base::VmState::kLeaving) {
+        continue;
+      }
+      found.push_back(id);
+      if (found.size() >= settings_.most_rows) break;
+    }
+    return found;
+  }
+
+  [[nodiscard]] VmFacts FactsOf(const base::VmRow& row, const Stay* stay) {
+    VmFacts facts;
+    facts.listed = state_.Listed(row.vm);
+    if (stay == nullptr) return facts;
+    facts.drained = stay->drained;
+    facts.rebooted = stay->rebooted;
+    if (row.state != base::VmState::kLeaving) return facts;
+    const auto view = store_.Snapshot();
+    const auto gate = contacts_.VmState(view->membership.entries,
+                                        stay->revision, row.vm, clock_.Now());
+    facts.without_work = gate == peer::GateState::kPassed;
+    state_.NoteWait(row.vm, peer::ToText(gate));
+    return facts;
+  }
+
+  // Moves every VM that is under way one step on.
+  boost::asio::awaitable<void> AdvanceVms() {
+    const auto view = store_.Snapshot();
+    std::vector<std::string> keys;
+    for (const base::VmId& it : VmsUnderWay(*view)) {
+      keys.push_back("vm/" + it.value);
+    }
+    if (keys.empty()) stays_.clear();
+    if (keys.empty()) co_return;
+    auto rows = co_await table_.Read(std::move(keys));
+    if (!rows) co_return;
+    UpdateStays(*view, *rows);
+    AwaitRevisions(*view);
+    std::vector<Pending> writes;
+    for (const platform::Row& it : *rows) {
+      co_await AdvanceVm(it, writes);
+    }
+    co_await WriteSteps(std::move(writes));
+  }
+
+  // A row that the view doesn't hold yet is left to a later tick: its revision
+  // isn't known, so no acknowledgement can be asked for.
+  void UpdateStays(const base::FleetView& view,
+                   const std::vector<platform::Row>& rows) {
+    std::map<base::VmId, Stay> next;
+    for (const platform::Row& it : rows) {
+      const auto row = base::DecodeVmRow(it.value);
+      if (!row) continue;
+      const auto known = stays_.find(row->vm);
+      if (known != stays_.end() && known->second.version == it.version) {
+        next.emplace(row->vm, known->second);
+        continue;
+      }
+      const auto seen = view.vms.find(row->vm);
+      const bool same = seen != view.vms.end() &&
+                        base::Encode(seen->second) == it.value;
+      if (same) next.emplace(row->vm, Stay{it.version, view.revision});
+    }
+    stays_ = std::move(next);
+  }
+
+  void AwaitRevisions(const base::FleetView& view) {
+    std::vector<base::Revision> awaited = state_.AwaitedRevisions();
+    for (const auto& [vm, stay] : stays_) awaited.push_back(stay.revision);
+    contacts_.Tick(view.membership.entries, awaited, clock_.Now());
+  }
+
+  boost::asio::awaitable<void> AdvanceVm(platform::Row row,
+                                         std::vector<Pending>& writes) {
+    const auto decoded = base::DecodeVmRow(row.value);
+    if (!decoded) co_return;
+    const auto stay = stays_.find(decoded->vm);
+    const Fence* fence = FenceOf(decoded->pool);
+    if (stay == stays_.end() || fence == nullptr) co_return;
+    const Fence held = *fence;
+    VmStep step = Next(*decoded, stay->second);
+    const bool is_act = step.act == VmAct::kDrain || step.act == VmAct::kReboot;
+    if (is_act) {
+      co_await Perform(step, decoded->vm, row.version, held, stay->second);
+      step = Next(*decoded, stay->second);
+    }
+    if (step.act != VmAct::kWrite) co_return;
+    writes.push_back({std::move(step), std::move(row), held});
+  }
+
+  VmStep Next(const base::VmRow& row, const Stay& stay) {
+    return NextVmStep(row, FactsOf(row, &stay), clock_.Wall());
+  }
+
+  // Calls the platform only when the call surely ends within the lease.
+  boost::asio::awaitable<void> Perform(VmStep step, base::VmId vm,
+                                       platform::RowVersion version,
+                                       Fence fence, Stay& stay) {
+    if (!fence.Covers(clock_.Now(), settings_.act_timeout)) co_return;
+    const bool reboot = step.act == VmAct::kReboot;
+    const std::string_view act = reboot ? "reboot" : "drain";
+    std::string nonce = ActNonce(act, vm, version);
+    base::LogLine(base::LogLevel::kInfo, "vm_act")
+        .With("vm", vm.value)
+        .With("act", act)
+        .With("epoch", fence.epoch)
+        .With("reason", step.reason);
+    if (reboot) {
+      auto done = co_await vms_.Reboot(vm, std::move(nonce));
+      stay.rebooted = done && *done;
+    } else {
+      auto done = co_await vms_.Drain(vm, std::move(nonce));
+      stay.drained = done && *done;
+    }
+  }
+
+  boost::asio::awaitable<void> WriteSteps(std::vector<Pending> writes) {
+    if (writes.empty()) co_return;
+    Change change;
+    std::map<int, Fence> fences;
+    for (const Pending& it : writes) {
+      change.conditions.push_back({it.row.key, it.row.version});
+      change.rows.push_back({it.row.key, base::Encode(it.step.next)});
+      fences.emplace(it.fence.shard, it.fence);
+    }
+    AddFences(change, fences);
+    auto accepted = co_await writer_.Write(std::move(change));
+    if (!accepted) co_return LogRefused("vm_steps", accepted.error());
+    for (const Pending& it : writes) LogVm(it.step.next, accepted->revision);
+  }
+
+  static void AddFences(Change& change, const std::map<int, Fence>& fences) {
+    for (const auto& [shard, fence] : fences) {
+      change.conditions.push_back(fence.condition());
+    }
+  }
+
+  // VMs that the list shows and the table doesn't know join a pool.
+  boost::asio::awaitable<void> AddListedVms() {
+    const auto view = store_.Snapshot();
+    Change change;
+    std::map<int, Fence> fences;
+    std::vector<base::VmRow> added;
+    for (const platform::ListedVm& it : state_.AllListed()) {
+      if (it.state != platform::ListedState::kLive) continue;
+      if (view->vms.contains(it.vm)) continue;
+      const base::PoolId pool = settings_.FirstPool(it.vm);
+      const Fence* fence = FenceOf(pool);
+      if (fence == nullptr) continue;
+      added.push_back(NewVmRow(it, pool, clock_.Wall()));
+      fences.emplace(fence->shard, *fence);
+      const std::string key = "vm/" + it.vm.value;
+      change.conditions.push_back({key, 0});
+      change.rows.push_back({key, base::Encode(added.back())});
+      if (added.size() >= settings_.most_rows) break;
+    }
+    if (added.empty()) co_return;
+    AddFences(change, fences);
+    auto accepted = co_await writer_.Write(std::move(change));
+    if (!accepted) co_return LogRefused("new_vms", accepted.error());
+    for (const base::VmRow& it : added) LogVm(it, accepted->revision);
+  }
+
+  boost::asio::awaitable<void> CarryOutPlan() {
+    const auto view = store_.Snapshot();
+    const auto decisions =
+        Plan(*view, state_.verdicts(), state_.demand(), settings_.planner,
+             clock_.Wall());
+    co_await CarryOut(*view, decisions);
+  }
+
+  boost::asio::awaitable<void> CarryOutWaves() {
+    const auto view = store_.Snapshot();
+    const auto steps =
+        NextWaveSteps(*view, state_.verdicts(), state_.demand(),
+                      state_.accounts(), settings_.wave, clock_.Wall());
+    for (const WaveStep& it : steps) state_.NoteWave(it);
+    for (const WaveStep& it : steps) {
+      co_await NoteVerdict(*view, it);
+      co_await CarryOut(*view, it.take_out);
+    }
+  }
+
+  // The wave's own row is kept by the holder of the first shard.
+  boost::asio::awaitable<void> NoteVerdict(const base::FleetView& view,
+                                           WaveStep step) {
+    const auto first = fences_.find(0);
+    const auto wave = view.waves.find(step.wave);
+    if (first == fences_.end() || wave == view.waves.end()) co_return;
+    base::WaveRow row = wave->second;
+    if (step.verdict == WaveVerdict::kFinished) row.finished = true;
+    if (step.verdict == WaveVerdict::kStop) row.stopped = true;
+    if (step.verdict == WaveVerdict::kGoOn) co_return;
+    row.reason = step.reason;
+    if (base::Encode(row) == base::Encode(wave->second)) co_return;
+    Change change;
+    change.follows = view.revision;
+    change.conditions = {first->second.condition()};
+    change.rows = {{"wave/" + step.wave.value, base::Encode(row)}};
+    auto accepted = co_await writer_.Write(std::move(change));
+    if (!accepted) co_return LogRefused("wave", accepted.error());
+    base::LogLine(base::LogLevel::kInfo, "wave_verdict")
+        .With("wave", step.wave.value)
+        .With("finished", row.finished)
+        .With("stopped", row.stopped)
+        .With("reason", row.reason)
+        .With("revision", accepted->revision);
+  }
+
+  // Commits decisions made on `view` as its direct successor, so that none of
+  // them rests on a fleet that has changed since.
+  boost::asio::awaitable<void> CarryOut(const base::FleetView& view,
+                                        std::vector<Decision> decisions) {
+    Change change;
+    change.follows = view.revision;
+    std::map<int, Fence> fences;
+    std::vector<base::VmRow> rows;
+    for (const Decision& it : decisions) {
+      const auto row = view.vms.find(it.vm);
+      if (row == view.vms.end()) continue;
+      const Fence* fence = FenceOf(row->second.pool);
+      const auto next = Carry(it, row->second, clock_.Wall());
+      if (fence == nullptr || !next) continue;
+      fences.emplace(fence->shard, *fence);
+      change.rows.push_back({"vm/" + it.vm.value, base::Encode(*next)});
+      rows.push_back(*next);
+      if (rows.size() >= settings_.most_rows) break;
+    }
+    if (rows.empty()) co_return;
+    AddFences(change, fences);
+    auto accepted = co_await writer_.Write(std::move(change));
+    if (!accepted) co_return LogRefused("decisions", accepted.error());
+    for (const base::VmRow& it : rows) LogVm(it, accepted->revision);
+  }
+
+  static void LogVm(const base::VmRow& row, base::Revision revision) {
+    base::LogLine(base::LogLevel::kInfo, "vm_state")
+        .With("vm", row.vm.value)
+        .With("state", base::ToText(row.state))
+        .With("pool", row.pool.value)
+        .With("destination", row.destination.value)
+        .With("wave", row.wave.value)
+        .With("revision", revision)
+        .With("reason", row.reason);
+  }
+
+  static void LogRefused(std::string_view what,
+                         const platform::TableError& error) {
+    base::LogLine(base::LogLevel::kInfo, "change_refused")
+        .With("change", what)
+        .With("reason", error.what);
+  }
+
+  TableT& table_;
+  VmsT& vms_;
+  const Clock& clock_;
+  peer::ViewStore& store_;
+  ChangeWriter<TableT>& writer_;
+  LeaseKeeper<TableT, Clock>& leases_;
+  EntryContacts& contacts_;
+  FleetState& state_;
+  RunnerSettings settings_;
+  std::map<int, Fence> fences_;
+  std::map<base::VmId, Stay> stays_;
+};
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/fleet_state.cc
@@ -0,0 +1,126 @@
+#include "control/fleet_state.h"
+
+#include <utility>
+
+namespace hemlockward::control {
+
+base::PoolId RunnerSettings::FirstPool(const base::VmId& vm) const {
+  for (const auto& [prefix, pool] : initial_pools) {
+    if (vm.value.starts_with(prefix)) return pool;
+  }
+  return spare_pool;
+}
+
+void FleetState::OnVerdicts(const std::vector<platform::Verdict>& verdicts,
+                            base::WallMillis now) {
+  const std::lock_guard lock(mutex_);
+  for (const platform::Verdict& it : verdicts) {
+    RecordVerdict(verdicts_, it.vm, it.up,
+                  base::WallMillis{now.count - it.age.count});
+  }
+}
+
+void FleetState::OnList(std::vector<platform::ListedVm> vms) {
+  std::map<base::VmId, platform::ListedVm> listed;
+  for (platform::ListedVm& it : vms) {
+    const base::VmId id = it.vm;
+    listed.insert_or_assign(id, std::move(it));
+  }
+  const std::lock_guard lock(mutex_);
+  listed_ = std::move(listed);
+}
+
+void FleetState::OnDemand(const base::FleetView& view,
+                          const std::map<base::ServiceId, int>& requests,
+                          base::WallMillis now) {
+  std::map<base::PoolId, double> vms;
+  for (const auto& [team, document] : view.documents) {
+    const auto it = requests.find(document.service);
+    if (it == requests.end()) continue;
+    vms[document.pool] +=
+        static_cast<double>(it->second) / document.slots_per_vm;
+  }
+  const std::lock_guard lock(mutex_);
+  for (const auto& [pool, n] : vms) ObserveDemand(demand_, pool, n, now);
+}
+
+void FleetState::ObserveBudgets(const base::FleetView& view,
+                                const JudgeSettings& settings,
+                                base::WallMillis now) {
+  const std::lock_guard lock(mutex_);
+  const auto pools = JudgeFleet(view, verdicts_, settings, now);
+  ObserveAll(accounts_, pools, now);
+}
+
+void FleetState::LoadAccount(const base::ServiceId& service,
+                             BudgetAccount account) {
+  const std::lock_guard lock(mutex_);
+  BudgetAccount& held = accounts_[service];
+  if (held.observed < account.observed) held = std::move(account);
+}
+
+Verdicts FleetState::verdicts() const {
+  const std::lock_guard lock(mutex_);
+  return verdicts_;
+}
+
+Demand FleetState::demand() const {
+  const std::lock_guard lock(mutex_);
+  return demand_;
+}
+
+Accounts FleetState::accounts() const {
+  const std::lock_guard lock(mutex_);
+  return accounts_;
+}
+
+std::optional<platform::ListedState> FleetState::Listed(
+    const base::VmId& vm) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = listed_.find(vm);
+  if (it == listed_.end()) return std::nullopt;
+  return it->second.state;
+}
+
+std::vector<platform::ListedVm> FleetState::AllListed() const {
+  std::vector<platform::ListedVm> all;
+  const std::lock_guard lock(mutex_);
+  for (const auto& [id, it] : listed_) all.push_back(it);
+  return all;
+}
+
+void FleetState::NoteWait(const base::VmId& vm, std::string_view reason) {
+  const std::lock_guard lock(mutex_);
+  waits_[vm] = std::string(reason);
+}
+
+std::string FleetState::WaitOf(const base::VmId& vm) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = waits_.find(vm);
+  return it == waits_.end() ? std::string() : it->second;
+}
+
+void FleetState::NoteWave(const WaveStep& step) {
+  const std::lock_guard lock(mutex_);
+  waves_[step.wave] = step;
+}
+
+std::optional<WaveStep> FleetState::WaveOf(const base::WaveId& wave) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = waves_.find(wave);
+  if (it == waves_.end()) return std::nullopt;
+  return it->second;
+}
+
+void FleetState::AwaitRevision(std::optional<base::Revision> revision) {
+  const std::lock_guard lock(mutex_);
+  awaited_ = revision;
+}
+
+std::vector<base::Revision> FleetState::AwaitedRevisions() const {
+  const std::lock_guard lock(mutex_);
+  if (!awaited_) return {};
+  return {*awaited_};
+}
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/fleet_state.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/fleet.h"
+#include "control/budget.h"
+#include "control/planner.h"
+#include "control/reserve.h"
+#include "control/wave.h"
+#include "platform/platform.h"
+
+/// What one control process has gathered besides the view: the monitor's
+/// verdicts, the VM list, demand, budget accounts and recent reasons.
+namespace hemlockward::control {
+
+struct RunnerSettings {
+  int shards = 4;
+  /// Upper bound of one call to the VM service; compared with the lease.
+  base::Millis act_timeout = base::Seconds(1);
+  std::size_t most_rows = 50;  ///< Rows in one transaction.
+  base::PoolId spare_pool;     ///< A VM that no prefix matches joins it.
+  /// Prefix of VM ids and the pool that such VMs join first.
+  std::vector<std::pair<std::string, base::PoolId>> initial_pools;
+  PlannerSettings planner;
+  WaveSettings wave;
+
+  /// The pool that a VM joins when the list shows it for the first time.
+  [[nodiscard]] base::PoolId FirstPool(const base::VmId& vm) const;
+};
+
+/// Thread-safe.
+class FleetState {
+ public:
+  void OnVerdicts(const std::vector<platform::Verdict>& verdicts,
+                  base::WallMillis now);
+  void OnList(std::vector<platform::ListedVm> vms);
+  /// Notes demand per service, `waiting` counted in requests, and the state of
+  /// every budget.
+  void OnDemand(const base::FleetView& view,
+                const std::map<base::ServiceId, int>& requests,
+                base::WallMillis now);
+  void ObserveBudgets(const base::FleetView& view,
+                      const JudgeSettings& settings, base::WallMillis now);
+  /// Installs an account kept in the table, unless a later one is known.
+  void LoadAccount(const base::ServiceId& service, BudgetAccount account);
+
+  [[nodiscard]] Verdicts verdicts() const;
+  [[nodiscard]] Demand demand() const;
+  [[nodiscard]] Accounts accounts() const;
+  [[nodiscard]] std::optional<platform::ListedState> Listed(
+      const base::VmId& vm) const;
+  [[nodiscard]] std::vector<platform::ListedVm> AllListed() const;
+
+  /// Why a VM that leaves can't go on yet.
+  void NoteWait(const base::VmId& vm, std::string_view reason);
+  [[nodiscard]] std::string WaitOf(const base::VmId& vm) const;
+  void NoteWave(const WaveStep& step);
+  [[nodiscard]] std::optional<WaveStep> WaveOf(const base::WaveId& wave) const;
+
+  /// Revisions that others than the runner wait for.
+  void AwaitRevision(std::optional<base::Revision> revision);
+  [[nodiscard]] std::vector<base::Revision> AwaitedRevisions() const;
+
+ private:
+  mutable std::mutex mutex_;  // In the lock order as "queue".
+  Verdicts verdicts_;
+  Demand demand_;
+  Accounts accounts_;
+  std::map<base::VmId, platform::ListedVm> listed_;
+  std::map<base::VmId, std::string> waits_;
+  std::map<base::WaveId, WaveStep> waves_;
+  std::optional<base::Revision> awaited_;
+};
+
+}  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/lease_keeper.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <algorithm>
+#include <boost/asio/awaitable.hpp>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "control/shard_lease.h"
+#include "platform/platform.h"
+
+/// Keeps this process's leases: announces it, renews what it holds, takes what
+/// it should hold and gives back what another should.
+namespace hemlockward::control {
+
+struct LeaseSettings {
+  std::string holder;        ///< Name and incarnation of this process.
+  std::string name;          ///< Key of its row `control/<name>`.
+  std::string http_address;  ///< Announced to the other processes.
+  int shards = 4;            ///< The same for all processes.
+  base::Millis lease = base::Seconds(6);
+};
+
+/// One Upkeep at a time; Held may be called from any thread.
+template <platform::Table TableT, base::ClockSource Clock>
+class LeaseKeeper {
+ public:
+  LeaseKeeper(TableT& table, const Clock& clock, LeaseSettings settings,
+              std::uint64_t seed)
+      : table_(table),
+        clock_(clock),
+        settings_(std::move(settings)),
+        watch_(settings_.lease * 2),
+        random_(seed) {
+    for (int i = 0; i < settings_.shards; ++i) {
+      leases_.emplace_back(i, settings_.holder, settings_.lease);
+    }
+  }
+
+  /// Proof of holding `shard` now; empty when it isn't held.
+  [[nodiscard]] std::optional<Fence> Held(int shard) const {
+    const base::Millis now = clock_.Now();
+    const std::lock_guard lock(mutex_);
+    return leases_[static_cast<std::size_t>(shard)].Held(now);
+  }
+
+  [[nodiscard]] int HeldCount() const {
+    int n = 0;
+    for (int i = 0; i < settings_.shards; ++i) n += Held(i) ? 1 : 0;
+    return n;
+  }
+
+  /// One round. Call it at most a sixth of a lease apart.
+  boost::asio::awaitable<void> Upkeep() {
+    co_await RenewHeld();
+    const base::Millis now = clock_.Now();
+    if (last_survey_ && now - *last_survey_ < SurveyInterval()) co_return;
+    last_survey_ = now;
+    co_await Announce();
+    co_await Survey();
+    co_await BalanceAll();
+  }
+
+  /// Gives all leases back; for a planned stop. Nothing is claimed afterwards.
+  boost::asio::awaitable<void> GiveBack() {
+    stopping_ = true;
+    for (int i = 0; i < settings_.shards; ++i) co_await Release(i);
+    platform::Transaction transaction;
+    transaction.nonce = NewNonce();
+    transaction.writes = {{AnnouncementKey(), {}, true}};
+    co_await table_.Transact(std::move(transaction));
+  }
+
+ private:
+  [[nodiscard]] base::Millis SurveyInterval() const {
+    return {settings_.lease.count / 3};
+  }
+  [[nodiscard]] std::string AnnouncementKey() const {
+    return "control/" + settings_.name;
+  }
+  std::string NewNonce() { return base::RandomHex(random_); }
+
+  boost::asio::awaitable<void> RenewHeld() {
+    if (stopping_) co_return;
+    for (int i = 0; i < settings_.shards; ++i) {
+      if (Held(i)) co_await WriteNext(i, true);
+    }
+  }
+
+  boost::asio::awaitable<void> Announce() {
+    if (stopping_) co_return;
+    ControlRow row{settings_.holder, settings_.http_address, ++counter_};
+    platform::Transaction transaction;
+    transaction.nonce = NewNonce();
+    transaction.writes = {{AnnouncementKey(), Encode(row), false}};
+    co_await table_.Transact(std::move(transaction));
+  }
+
+  // Reads all lease rows and all announcements.
+  boost::asio::awaitable<void> Survey() {
+    std::vector<std::string> keys;
+    for (int i = 0; i < settings_.shards; ++i) keys.push_back(ShardKey(i));
+    auto rows = co_await table_.Read(std::move(keys));
+    if (rows) NoteLeaseRows(*rows);
+    auto page = co_await table_.Scan("control/", "", kMostControls);
+    if (page) watch_.Observe(clock_.Now(), page->rows);
+  }
+
+  void NoteLeaseRows(const std::vector<platform::Row>& rows) {
+    const base::Millis now = clock_.Now();
+    const std::lock_guard lock(mutex_);
+    for (ShardLease& lease : leases_) {
+      platform::Row row{ShardKey(lease.shard()), 0, {}};
+      for (const platform::Row& it : rows) {
+        if (it.key == row.key) row = it;
+      }
+      lease.Observe(now, row);
+    }
+  }
+
+  // Claims what this process should hold and gives back what another should.
+  boost::asio::awaitable<void> BalanceAll() {
+    if (stopping_) co_return;
+    const auto alive = watch_.Alive(clock_.Now());
+    for (int i = 0; i < settings_.shards; ++i) {
+      const std::string preferred = PreferredHolder(i, alive);
+      const bool mine = preferred.empty() || preferred == settings_.holder;
+      if (!Held(i)) {
+        co_await WriteNext(i, mine);
+      } else if (!mine) {
+        co_await Release(i);
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> WriteNext(int shard, bool preferred) {
+    const base::Millis sent = clock_.Now();
+    const bool held = Held(shard).has_value();
+    auto transaction = Prepare(shard, preferred, sent);
+    if (!transaction) co_return;
+    auto committed = co_await table_.Transact(*transaction);
+    Report(shard, sent, *transaction, committed);
+    if (held || !committed) co_return;
+    base::LogLine(base::LogLevel::kInfo, "shard_claimed").With("shard", shard);
+  }
+
+  std::optional<platform::Transaction> Prepare(int shard, bool preferred,
+                                               base::Millis sent) {
+    const std::lock_guard lock(mutex_);
+    return At(shard).NextWrite(sent, preferred, NewNonce());
+  }
+
+  void Report(int shard, base::Millis sent,
+              const platform::Transaction& transaction,
+              const tl::expected<platform::Committed, platform::TableError>&
+                  committed) {
+    const std::lock_guard lock(mutex_);
+    if (committed) {
+      At(shard).Committed(sent, transaction, committed->version);
+    } else {
+      At(shard).Failed(sent, transaction);
+      last_survey_.reset();  // The row has to be read before the next write.
+    }
+  }
+
+  // Stops acting as holder before the row says so, never after.
+  boost::asio::awaitable<void> Release(int shard) {
+    const base::Millis sent = clock_.Now();
+    auto transaction = PrepareRelease(shard, sent);
+    if (!transaction) co_return;
+    auto committed = co_await table_.Transact(*transaction);
+    Report(shard, sent, *transaction, committed);
+    base::LogLine(base::LogLevel::kInfo, "shard_released").With("shard", shard);
+  }
+
+  std::optional<platform::Transaction> PrepareRelease(int shard,
+                                                      base::Millis sent) {
+    const std::lock_guard lock(mutex_);
+    auto transaction = At(shard).Release(sent, NewNonce());
+    At(shard).Abandon();
+    return transaction;
+  }
+
+  ShardLease& At(int shard) { return leases_[static_cast<std::size_t>(shard)]; }
+
+  static constexpr int kMostControls = 64;
+
+  TableT& table_;
+  const Clock& clock_;
+  LeaseSettings settings_;
+  mutable std::mutex mutex_;  // Guards leases_.
+  std::vector<ShardLease> leases_;
+  ControlWatch watch_;
+  base::Random random_;
+  std::uint64_t counter_ = 0;
+  std::optional<base::Millis> last_survey_;
+  bool stopping_ = false;
+};
+
+}  // namespace hemlockward::control
--- a/src/control/vm_steps.cc
+++ b/src/control/vm_steps.cc
@@ -11,13 +11,16 @@
 
 namespace {
 
-VmStep Wait(std::string reason) { return {VmAct::kNone, {}, std::move(reason)}; }
+VmStep Wait(std::string reason) {
+  return {VmAct::kNone, {}, std::move(reason)};
+}
 
 VmStep WriteState(const VmRow& row, VmState state, base::WallMillis now,
                   std::string reason) {
   VmStep step{VmAct::kWrite, row, std::move(reason)};
   step.next.state = state;
   step.next.changed = now;
+  step.next.reason = step.reason;
   return step;
 }
 
@@ -30,8 +33,7 @@
   return step;
 }
 
-VmStep FromEmpty(const VmRow& row, const VmFacts& facts,
-                 base::WallMillis now) {
+VmStep FromEmpty(const VmRow& row, const VmFacts& facts, base::WallMillis now) {
   switch (row.purpose) {
     case VmPurpose::kMove:
       return JoinDestination(row, now);
@@ -84,6 +86,7 @@
                            base::WallMillis now) {
   VmRow next = row;
   next.changed = now;
+  next.reason = decision.reason;
   if (decision.action == Action::kAdmit) {
     if (row.state != VmState::kReturning) return std::nullopt;
     next.state = VmState::kMember;
@@ -112,6 +115,7 @@
   row.rack = listed.rack;
   row.address = listed.address;
   row.changed = now;
+  row.reason = "listed for the first time";
   return row;
 }
 
