--- a/src/control/fleet_runner.h
+++ b/src/control/fleet_runner.h
@@ -153,17 +153,18 @@
         continue;
       }
       const auto seen = view.vms.find(row->vm);
-      const bool same = seen != view.vms.end() &&
-                        base::Encode(seen->second) == it.value;
+      const bool same =
+          seen != view.vms.end() && base::Encode(seen->second) == it.value;
       if (same) next.emplace(row->vm, Stay{it.version, view.revision});
     }
     stays_ = std::move(next);
   }
 
   void AwaitRevisions(const base::FleetView& view) {
-    std::vector<base::Revision> awaited = state_.AwaitedRevisions();
+    std::vector<base::Revision> awaited;
     for (const auto& [vm, stay] : stays_) awaited.push_back(stay.revision);
-    contacts_.Tick(view.membership.entries, awaited, clock_.Now());
+    state_.Await("vms", std::move(awaited));
+    contacts_.Tick(view.membership.entries, state_.Awaited(), clock_.Now());
   }
 
   boost::asio::awaitable<void> AdvanceVm(platform::Row row,
@@ -259,9 +260,8 @@
 
   boost::asio::awaitable<void> CarryOutPlan() {
     const auto view = store_.Snapshot();
-    const auto decisions =
-        Plan(*view, state_.verdicts(), state_.demand(), settings_.planner,
-             clock_.Wall());
+    const auto decisions = Plan(*view, state_.verdicts(), state_.demand(),
+                                settings_.planner, clock_.Wall());
     co_await CarryOut(*view, decisions);
   }
 
--- a/src/control/fleet_state.cc
+++ b/src/control/fleet_state.cc
@@ -112,15 +112,19 @@
   return it->second;
 }
 
-void FleetState::AwaitRevision(std::optional<base::Revision> revision) {
+void FleetState::Await(std::string_view waiter,
+                       std::vector<base::Revision> revisions) {
   const std::lock_guard lock(mutex_);
-  awaited_ = revision;
+  awaited_.insert_or_assign(std::string(waiter), std::move(revisions));
 }
 
-std::vector<base::Revision> FleetState::AwaitedRevisions() const {
+std::vector<base::Revision> FleetState::Awaited() const {
+  std::vector<base::Revision> all;
   const std::lock_guard lock(mutex_);
-  if (!awaited_) return {};
-  return {*awaited_};
+  for (const auto& [waiter, it] : awaited_) {
+    all.insert(all.end(), it.begin(), it.end());
+  }
+  return all;
 }
 
 }  // namespace hemlockward::control
--- a/src/control/fleet_state.h
+++ b/src/control/fleet_state.h
@@ -67,9 +67,10 @@
   void NoteWave(const WaveStep& step);
   [[nodiscard]] std::optional<WaveStep> WaveOf(const base::WaveId& wave) const;
 
-  /// Revisions that others than the runner wait for.
-  void AwaitRevision(std::optional<base::Revision> revision);
-  [[nodiscard]] std::vector<base::Revision> AwaitedRevisions() const;
+  /// Replaces the revisions that `waiter` waits for all entries to pass.
+  void Await(std::string_view waiter, std::vector<base::Revision> revisions);
+  /// Of all waiters together.
+  [[nodiscard]] std::vector<base::Revision> Awaited() const;
 
  private:
   mutable std::mutex mutex_;  // In the lock order as "queue".
@@ -79,7 +80,7 @@
   std::map<base::VmId, platform::ListedVm> listed_;
   std::map<base::VmId, std::string> waits_;
   std::map<base::WaveId, WaveStep> waves_;
-  std::optional<base::Revision> awaited_;
+  std::map<std::string, std::vector<base::Revision>, std::less<>> awaited_;
 };
 
 }  // namespace hemlockward::control
--- /dev/null
+++ b/src/control/operations.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/findings.h"
+#include "base/fleet.h"
+#include "base/log.h"
+#include "control/change_writer.h"
+#include "control/document.h"
+#include "peer/view_sync.h"
+#include "platform/platform.h"
+
+/// What operators may change: their team's document, and waves.
+namespace hemlockward::control {
+
+enum class RefusalKind : std::uint8_t {
+  kFindings,     ///< The input is wrong; see `findings`.
+  kConflict,     ///< Another operator changed it; see `stored`.
+  kNotFound,     ///< There is no such thing.
+  kUnavailable,  ///< Nothing was changed; try again.
+  kUnknown,      ///< It may or may not have been changed.
+};
+
+struct Refusal {
+  RefusalKind kind = RefusalKind::kUnavailable;
+  std::string what;
+  base::Findings findings;
+  std::string stored;       ///< With kConflict: the document in force.
+  std::string stored_etag;  ///< With kConflict: its entity tag.
+};
+
+template <class T>
+using OperationResult = boost::asio::awaitable<tl::expected<T, Refusal>>;
+
+/// An accepted document or wave.
+struct Applied {
+  base::Revision revision = 0;
+  std::string etag;  ///< Of the document in force, quoted.
+};
+
+/// Entity tag of a document's text: the same text has the same tag.
+std::string EtagOf(std::string_view source);
+
+/// A refusal that says what became of a write that failed.
+Refusal RefusalOf(const platform::TableError& error);
+
+/// The document of `team` against the one in force. `if_match` is empty when
+/// the operator gave none; `*` stands for any that exists.
+std::optional<Refusal> CheckMatch(const base::FleetView& view,
+                                  const base::TeamId& team,
+                                  std::string_view if_match);
+
+/// Findings as one JSON array of {file,line,column,problem,allowed}.
+std::string ToJson(const base::Findings& findings);
+
+template <platform::Table TableT, base::ClockSource Clock>
+class Operations {
+ public:
+  Operations(const Clock& clock, peer::ViewStore& store,
+             peer::ViewPoller<TableT, Clock>& poller,
+             ChangeWriter<TableT>& writer)
+      : clock_(clock), store_(store), poller_(poller), writer_(writer) {}
+
+  /// Checks the document alone and against the fleet and puts it into force.
+  OperationResult<Applied> PutDocument(base::TeamId team, std::string text,
+                                       std::string if_match, std::string file) {
+    auto document = ParseDocument(text, file);
+    if (!document) co_return Wrong(std::move(document.error()));
+    if (document->team != team) {
+      base::Findings findings;
+      findings.Add({file, 1, 1},
+                   "the document is of team '" + document->team.value + "'",
+                   "team '" + team.value + "'");
+      co_return Wrong(std::move(findings));
+    }
+    for (int i = 0; i < kMostRaces; ++i) {
+      auto polled = co_await poller_.PollOnce();
+      if (!polled) co_return tl::unexpected(RefusalOf(polled.error()));
+      const auto view = store_.Snapshot();
+      if (auto refusal = CheckMatch(*view, team, if_match)) {
+        co_return tl::unexpected(std::move(*refusal));
+      }
+      auto findings = CheckAgainstFleet(*document, *view, file);
+      if (!findings.empty()) co_return Wrong(std::move(findings));
+      Change change;
+      change.follows = view->revision;
+      change.rows = {{"doc/" + team.value, base::Encode(*document)}};
+      auto accepted = co_await writer_.Write(std::move(change));
+      if (accepted) {
+        Log("document", team.value, accepted->revision);
+        co_return Applied{accepted->revision, EtagOf(text)};
+      }
+      if (!IsRace(accepted.error())) {
+        co_return tl::unexpected(RefusalOf(accepted.error()));
+      }
+    }
+    co_return tl::unexpected(TooManyRaces());
+  }
+
+  /// Starts a wave over `pools` (all when empty).
+  OperationResult<Applied> StartWave(base::WaveId wave,
+                                     std::vector<base::PoolId> pools) {
+    for (int i = 0; i < kMostRaces; ++i) {
+      auto polled = co_await poller_.PollOnce();
+      if (!polled) co_return tl::unexpected(RefusalOf(polled.error()));
+      const auto view = store_.Snapshot();
+      if (view->waves.contains(wave)) co_return Taken(wave);
+      base::WaveRow row;
+      row.wave = wave;
+      row.pools = pools;
+      row.started = clock_.Wall();
+      auto accepted = co_await WriteWave(*view, std::move(row));
+      if (accepted) co_return Applied{accepted->revision, {}};
+      if (!IsRace(accepted.error())) {
+        co_return tl::unexpected(RefusalOf(accepted.error()));
+      }
+    }
+    co_return tl::unexpected(TooManyRaces());
+  }
+
+  /// Stops a wave: it takes out nothing more. Stopping it twice is fine.
+  OperationResult<Applied> StopWave(base::WaveId wave) {
+    for (int i = 0; i < kMostRaces; ++i) {
+      auto polled = co_await poller_.PollOnce();
+      if (!polled) co_return tl::unexpected(RefusalOf(polled.error()));
+      const auto view = store_.Snapshot();
+      const auto it = view->waves.find(wave);
+      if (it == view->waves.end()) {
+        co_return tl::unexpected(Refusal{
+            RefusalKind::kNotFound, "no wave " + wave.value, {}, {}, {}});
+      }
+      if (it->second.stopped) co_return Applied{view->revision, {}};
+      base::WaveRow row = it->second;
+      row.stopped = true;
+      row.reason = "stopped by an operator";
+      auto accepted = co_await WriteWave(*view, std::move(row));
+      if (accepted) co_return Applied{accepted->revision, {}};
+      if (!IsRace(accepted.error())) {
+        co_return tl::unexpected(RefusalOf(accepted.error()));
+      }
+    }
+    co_return tl::unexpected(TooManyRaces());
+  }
+
+ private:
+  static constexpr int kMostRaces = 20;
+
+  static bool IsRace(const platform::TableError& error) {
+    return error.failure == platform::TableFailure::kConflict;
+  }
+  static Refusal TooManyRaces() {
+    return {RefusalKind::kUnavailable, "too many changes at once", {}, {}, {}};
+  }
+  static tl::unexpected<Refusal> Wrong(base::Findings findings) {
+    return tl::unexpected(Refusal{RefusalKind::kFindings,
+                                  "the document is wrong",
+                                  std::move(findings),
+                                  {},
+                                  {}});
+  }
+  static tl::unexpected<Refusal> Taken(const base::WaveId& wave) {
+    return tl::unexpected(Refusal{
+        RefusalKind::kConflict, "wave " + wave.value + " exists", {}, {}, {}});
+  }
+  static void Log(std::string_view what, std::string_view id,
+                  base::Revision revision) {
+    base::LogLine(base::LogLevel::kInfo, "accepted")
+        .With("change", what)
+        .With("id", id)
+        .With("revision", revision);
+  }
+
+  platform::Result<Accepted> WriteWave(const base::FleetView& view,
+                                       base::WaveRow row) {
+    Change change;
+    change.follows = view.revision;
+    change.rows = {{"wave/" + row.wave.value, base::Encode(row)}};
+    auto accepted = co_await writer_.Write(std::move(change));
+    if (accepted) Log("wave", row.wave.value, accepted->revision);
+    co_return accepted;
+  }
+
+  const Clock& clock_;
+  peer::ViewStore& store_;
+  peer::ViewPoller<TableT, Clock>& poller_;
+  ChangeWriter<TableT>& writer_;
+};
+
+}  // namespace hemlockward::control
