--- a/src/base/fleet.h
+++ b/src/base/fleet.h
@@ -134,7 +134,7 @@
 struct ChangeRecord {
   Revision revision = 0;
   std::vector<RowChange> rows;
-  std::string nonce;  ///< Of the writer's transaction; settles a lost answer.
+  std::string nonce{};  ///< Of the writer's transaction; settles a lost answer.
 };
 
 /// Everything a process knows of the fleet, at one revision.
--- a/src/control/fleet_state.cc
+++ b/src/control/fleet_state.cc
@@ -1,5 +1,6 @@
 #include "control/fleet_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlockward::control {
@@ -52,11 +53,20 @@
   ObserveAll(accounts_, pools, now);
 }
 
-void FleetState::LoadAccount(const base::ServiceId& service,
-                             BudgetAccount account) {
+void FleetState::MergeAccount(const base::ServiceId& service,
+                              BudgetAccount stored) {
   const std::lock_guard lock(mutex_);
   BudgetAccount& held = accounts_[service];
-  if (held.observed < account.observed) held = std::move(account);
+  for (BelowInterval& it : held.below) {
+    it.from = std::max(it.from, stored.observed);
+    if (it.from < it.to) stored.below.push_back(it);
+  }
+  if (held.observed > stored.observed) {
+    stored.observed = held.observed;
+    stored.is_below = held.is_below;
+    stored.cause = held.cause;
+  }
+  held = std::move(stored);
 }
 
 Verdicts FleetState::verdicts() const {
--- a/src/control/fleet_state.h
+++ b/src/control/fleet_state.h
@@ -51,8 +51,9 @@
                 base::WallMillis now);
   void ObserveBudgets(const base::FleetView& view,
                       const JudgeSettings& settings, base::WallMillis now);
-  /// Installs an account kept in the table, unless a later one is known.
-  void LoadAccount(const base::ServiceId& service, BudgetAccount account);
+  /// Takes over an account from the table: what this process observed of the
+  /// service after it is added, what it observed before is dropped.
+  void MergeAccount(const base::ServiceId& service, BudgetAccount stored);
 
   [[nodiscard]] Verdicts verdicts() const;
   [[nodiscard]] Demand demand() const;
