--- a/bench/load_caller.cc
+++ b/bench/load_caller.cc
@@ -50,14 +50,6 @@
   return IsRight(request, answer) ? Verdict::kDone : Verdict::kWrong;
 }
 
-// The same for an answer of a target called directly.
-std::optional<Verdict> JudgeDirect(const LoadRequest& request,
-                                   const HttpResponse& answer) {
-  if (!answer.Header("Hemlockward-Refused").empty()) return Verdict::kNotRun;
-  if (answer.status != kOk) return Verdict::kFailed;
-  return IsRight(request, answer) ? Verdict::kDone : Verdict::kWrong;
-}
-
 void AddCounts(const json::object& counts, std::map<std::string, int>& sums) {
   for (const auto& it : counts) {
     sums[std::string(it.key())] += it.value().to_number<int>();
@@ -111,9 +103,7 @@
     const LoadRequest& request) {
   HttpRequest post;
   post.method = "POST";
-  post.target = settings_.direct
-                    ? "/run/" + request.service
-                    : "/v1/services/" + request.service + "/requests";
+  post.target = "/v1/services/" + request.service + "/requests";
   post.body = request.body;
   const std::string timeout = std::to_string(settings_.timeout.count);
   const std::string request_class(base::ToText(request.request_class));
@@ -125,11 +115,6 @@
   if (!request.key.empty()) {
     post.headers.push_back({"Idempotency-Key", request.key});
   }
-  if (settings_.direct) {
-    const std::lock_guard lock(mutex_);
-    post.headers.push_back(
-        {"Hemlockward-Request-Id", base::RandomHex(random_)});
-  }
   co_return co_await Call(std::move(post));
 }
 
@@ -214,8 +199,7 @@
     const auto answer = co_await Post(request);
     if (!answer) continue;
     request_id = std::string(answer->Header("Hemlockward-Request-Id"));
-    const auto verdict = settings_.direct ? JudgeDirect(request, *answer)
-                                          : Judge(request, *answer);
+    const auto verdict = Judge(request, *answer);
     const bool open = !verdict || *verdict == Verdict::kUnknown;
     if (!open) co_return *verdict;
     if (!request.key.empty()) co_return co_await AskAgain(request, deadline);
--- a/bench/load_plan.cc
+++ b/bench/load_plan.cc
@@ -24,7 +24,6 @@
                   Need::kRequired);
   reader.TextList("services", &services, "services to call", Need::kRequired);
   reader.TextList("targets", &targets, "one IP:port per target process");
-  reader.Flag("direct", &direct, "call targets, given as entries, directly");
   reader.Real("rate", &rate, "mean requests a second", 0.1, kMost);
   reader.Duration("duration", &duration, "time of sending", {1}, longest);
   reader.Duration("burst", &burst, "length of bursts of 5 times the mean", {0},
--- a/src/base/fleet.cc
+++ b/src/base/fleet.cc
@@ -219,7 +219,8 @@
                                      {"zone", row.zone.value},
                                      {"rack", row.rack.value},
                                      {"address", row.address},
-                                     {"changed_ms", row.changed.count}});
+                                     {"changed_ms", row.changed.count},
+                                     {"reason", row.reason}});
 }
 
 tl::expected<VmRow, CodecError> DecodeVmRow(std::string_view text) {
@@ -236,6 +237,7 @@
     row.rack = RackId(ReadText(object, "rack"));
     row.address = ReadText(object, "address");
     row.changed = {ReadI64(object, "changed_ms")};
+    if (object.contains("reason")) row.reason = ReadText(object, "reason");
     return row;
   });
 }
@@ -340,7 +342,8 @@
     rows.push_back(json::object{{"key", it.key}, {"value", it.value}});
   }
   return json::serialize(json::value{{"revision", U64(record.revision)},
-                                     {"rows", std::move(rows)}});
+                                     {"rows", std::move(rows)},
+                                     {"nonce", record.nonce}});
 }
 
 tl::expected<ChangeRecord, CodecError> DecodeChangeRecord(
@@ -348,6 +351,7 @@
   return Guarded<ChangeRecord>(text, [](const json::object& object) {
     ChangeRecord record;
     record.revision = ReadU64(object.at("revision"));
+    if (object.contains("nonce")) record.nonce = ReadText(object, "nonce");
     for (const json::value& it : object.at("rows").as_array()) {
       const json::object& row = it.as_object();
       record.rows.push_back({ReadText(row, "key"), ReadText(row, "value")});
