--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -65,9 +65,10 @@
 class Cluster:
     """One set of processes; use as a context manager."""
 
-    def __init__(self, first_port, log_level="info"):
+    def __init__(self, first_port, log_level="info", target_overrides=()):
         self.shift = first_port - 20000
         self.log_level = log_level
+        self.target_overrides = target_overrides
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="hemlockward-"))
         self.processes = {}
         self.platform = self.address(1)
@@ -107,7 +108,8 @@
 
     def start_standins(self):
         vms = self.settings("vms.yaml")
-        self.spawn("targets", "standin-target", self.settings("target.yaml"))
+        self.spawn("targets", "standin-target", self.settings("target.yaml"),
+                   *self.target_overrides)
         self.spawn("platform", "standin-platform", vms, f"listen={self.platform}",
                    "list_lag=500ms", "reboot_time=1s")
         self.spawn("monitor", "standin-monitor", vms, f"listen={self.monitor}")
--- a/tests/system/latency_bench.py
+++ b/tests/system/latency_bench.py
@@ -37,7 +37,8 @@
 
 def main():
     for level in ("warning", "info"):
-        with Cluster(int(os.environ.get("HEMLOCKWARD_PORTS", "20600")), log_level=level) as cluster:
+        with Cluster(int(os.environ.get("HEMLOCKWARD_PORTS", "20600")), log_level=level,
+                     target_overrides=("service_time=0ms",)) as cluster:
             cluster.start("fitting.yaml", "booking.yaml")
             for connections in (1, 8):
                 compare(cluster, connections, level)
