--- a/src/control/reports.cc
+++ b/src/control/reports.cc
@@ -110,6 +110,11 @@
   }
   object["taken"] = taken;
   object["out"] = out;
+  if (row.finished) {
+    object["total"] = taken;
+    object["done"] = taken - out;
+    return object;
+  }
   if (const auto step = inputs.state.WaveOf(row.wave)) {
     object["total"] = step->progress.total;
     object["done"] = step->progress.done;
--- a/src/ctl/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace hemlockward::ctl {}
