--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -1,7 +1,10 @@
 #include "entry/dispatch.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/log.h"
+
 namespace hemlockward::entry {
 
 namespace asio = boost::asio;
@@ -10,7 +13,11 @@
 
 namespace {
 
-constexpr Millis kShedRetryAfter = base::Seconds(1);
+constexpr Millis kRetryAfter = base::Seconds(1);
+// An entry without a fresh view hopes for one this long, then sends its caller
+// elsewhere.
+constexpr Millis kFreshViewWait = base::Seconds(1);
+constexpr Millis kFreshViewPoll{20};
 
 kernel::HttpRequest ToTargetRequest(const Request& request) {
   kernel::HttpRequest message;
@@ -29,81 +36,270 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(kernel::HttpClient& http, const base::SystemClock& clock,
-                       DecisionLog& decisions, base::Metrics& metrics)
-    : http_(http),
+/// One try on one VM. It may outlive the request's own coroutine, which then
+/// has answered without it.
+struct Dispatcher::Attempt {
+  std::shared_ptr<const Request> request;
+  SlotHold hold;
+  std::shared_ptr<Signal> ended;
+  Millis time_limit;
+  // Set before `ended` is notified.
+  bool sent = false;
+  std::optional<AttemptFailure> failure;
+  std::string problem;
+  Answer answer;  ///< The target's, when there is a whole one.
+};
+
+/// What a request has behind it.
+struct Dispatcher::Progress {
+  std::shared_ptr<const Request> request;
+  Millis linger;
+  AttemptHistory history;
+  std::vector<SlotIndex> failed_on;
+  bool may_have_run = false;
+  Millis retry_delay;
+};
+
+Dispatcher::Dispatcher(kernel::WorkerPool& pool, kernel::HttpClient& http,
+                       const base::SystemClock& clock, Tables tables,
+                       Millis orphan_hold,
+                       std::function<void(const base::ServiceId&)> on_waiting)
+    : pool_(pool),
+      http_(http),
       clock_(clock),
-      decisions_(decisions),
-      metrics_(metrics),
-      view_(std::make_shared<base::FleetView>()) {}
+      tables_(tables),
+      orphan_hold_(orphan_hold),
+      on_waiting_(std::move(on_waiting)) {}
 
-void Dispatcher::Install(std::shared_ptr<const base::FleetView> view) {
-  const std::lock_guard lock(mutex_);
-  if (view->revision >= view_->revision) view_ = std::move(view);
+asio::awaitable<Answer> Dispatcher::Run(Request request, Millis linger) {
+  const Millis began = clock_.Now();
+  if (request.number == 0) request.number = tables_.scheduler.NextNumber();
+  Progress progress;
+  progress.request = std::make_shared<const Request>(std::move(request));
+  progress.linger = linger;
+  progress.history.repeatable = progress.request->repeatable;
+  while (true) {
+    auto hold = co_await AcquireSlot(*progress.request, progress);
+    if (!hold) {
+      Answer answer = std::move(hold.error());
+      if (progress.may_have_run) answer.outcome = Outcome::kUnknown;
+      Record(*progress.request, "refuse", nullptr, answer.reason);
+      Count(*progress.request, answer, began);
+      co_return answer;
+    }
+    auto answer = co_await Try(progress, std::move(*hold));
+    if (answer) {
+      Count(*progress.request, *answer, began);
+      co_return std::move(*answer);
+    }
+    co_await kernel::Sleep(progress.retry_delay);
+  }
 }
 
-base::Revision Dispatcher::revision() {
-  const std::lock_guard lock(mutex_);
-  return view_->revision;
+// A view that is too old may become fresh with the next heartbeat.
+asio::awaitable<std::optional<Answer>> Dispatcher::AwaitFreshView(
+    const Request& request) {
+  const Millis until =
+      std::min(request.deadline, clock_.Now() + kFreshViewWait);
+  while (!tables_.guard.MayServe(clock_.Now())) {
+    if (clock_.Now() >= until) {
+      Answer answer =
+          Refusal(Outcome::kNotRun, 503, tables_.guard.Reason(clock_.Now()));
+      answer.retry_after = kRetryAfter;
+      co_return answer;
+    }
+    co_await kernel::Sleep(kFreshViewPoll);
+  }
+  co_return std::nullopt;
 }
 
-std::optional<Dispatcher::Choice> Dispatcher::Choose(const Request& request) {
-  const std::lock_guard lock(mutex_);
-  const base::ServiceDocument* document = view_->FindService(request.service);
-  if (document == nullptr) return std::nullopt;
-  const base::VmRow* best = nullptr;
-  int least = document->slots_per_vm;
-  for (const auto& [id, vm] : view_->vms) {
-    if (vm.pool != document->pool) continue;
-    if (vm.state != base::VmState::kMember) continue;
-    const auto it = in_progress_.find(id);
-    const int n = it == in_progress_.end() ? 0 : it->second;
-    if (n >= least) continue;
-    least = n;
-    best = &vm;
+// Waits for a slot until the deadline; the error is surely not run.
+asio::awaitable<tl::expected<SlotHold, Answer>> Dispatcher::AcquireSlot(
+    const Request& request, const Progress& progress) {
+  auto refused = co_await AwaitFreshView(request);
+  if (refused) co_return tl::unexpected(std::move(*refused));
+
+  const auto wait = std::make_shared<SlotWait>();
+  wait->signal = co_await MakeSignal();
+  wait->service = request.service;
+  wait->request_class = request.request_class;
+  wait->avoid = progress.failed_on;
+  const bool retry = progress.history.tries > 0;
+  auto queued = tables_.scheduler.Enqueue(request, wait, retry, clock_.Now());
+  if (!queued) co_return tl::unexpected(std::move(queued.error()));
+
+  if (!wait->signal->notified()) on_waiting_(request.service);
+  const bool notified =
+      co_await wait->signal->WaitFor(request.deadline - clock_.Now());
+  if (!notified && tables_.scheduler.Withdraw(request.number)) {
+    Answer answer =
+        Refusal(Outcome::kNotRun, 503, "no slot before the deadline");
+    answer.retry_after = kRetryAfter;
+    co_return tl::unexpected(std::move(answer));
+  }
+  if (wait->cancelled) {
+    co_return tl::unexpected(Refusal(Outcome::kNotRun, 409, "cancelled"));
   }
-  if (best == nullptr) return std::nullopt;
-  ++in_progress_[best->vm];
-  return Choice{*best, view_->revision};
+  co_return std::move(*wait->hold);
 }
 
-void Dispatcher::Release(const base::VmId& vm) {
-  const std::lock_guard lock(mutex_);
-  --in_progress_[vm];
-}
+// One attempt; the result is empty when the request is to be tried again.
+asio::awaitable<std::optional<Answer>> Dispatcher::Try(Progress& progress,
+                                                       SlotHold hold) {
+  const auto attempt = std::make_shared<Attempt>();
+  attempt->request = progress.request;
+  attempt->hold = std::move(hold);
+  attempt->ended = co_await MakeSignal();
+  const Millis remaining = progress.request->deadline - clock_.Now();
+  attempt->time_limit = remaining + std::max(orphan_hold_, progress.linger);
+  Record(*progress.request, progress.history.tries == 0 ? "route" : "retry",
+         &attempt->hold, ToText(attempt->hold.reason));
+  pool_.Spawn("attempt", Send(attempt));
 
-asio::awaitable<Answer> Dispatcher::Run(Request request) {
-  const std::optional<Choice> choice = Choose(request);
-  if (!choice) {
-    Answer shed = Refusal(Outcome::kNotRun, 503, "no free slot in the pool");
-    shed.retry_after = kShedRetryAfter;
-    co_return shed;
+  const bool ended =
+      co_await attempt->ended->WaitFor(remaining + progress.linger);
+  if (!ended) {
+    Answer late = Refusal(Outcome::kUnknown, 504, "no answer in time");
+    Record(*progress.request, "give_up", &attempt->hold, late.reason);
+    co_return late;
   }
-  decisions_.Add({request.id, "route", choice->vm.vm, "fewest in progress",
-                  choice->revision, clock_.Now()});
-  kernel::HttpRequest message = ToTargetRequest(request);
-  auto result = co_await http_.Call(choice->vm.address, std::move(message),
-                                    request.deadline - clock_.Now());
-  Release(choice->vm.vm);
+  if (!attempt->failure) co_return std::move(attempt->answer);
+  co_return AfterFailure(progress, *attempt);
+}
+
+// The last look before the first byte: between the choice of the VM and now
+// the process may have been paused or the VM may have left its pool.
+bool Dispatcher::MaySend(Attempt& attempt) const {
+  const Millis now = clock_.Now();
+  if (now >= attempt.request->deadline) return false;
+  if (!tables_.guard.MayServe(now)) return false;
+  if (!tables_.scheduler.IsMember(attempt.hold)) return false;
+  if (attempt.request->may_send && !attempt.request->may_send()) return false;
+  attempt.sent = true;
+  return true;
+}
+
+// Sends, listens for the answer and gives the slot back, whether or not the
+// request's own coroutine still waits.
+asio::awaitable<void> Dispatcher::Send(std::shared_ptr<Attempt> attempt) {
+  const Millis began = clock_.Now();
+  kernel::HttpRequest message = ToTargetRequest(*attempt->request);
+  std::function<bool()> may_send = [this, attempt] {
+    return MaySend(*attempt);
+  };
+  bool refused_here = false;
+  auto result = co_await http_.Call(attempt->hold.address, std::move(message),
+                                    attempt->time_limit, std::move(may_send));
+  AttemptResult effect = AttemptResult::kFailed;
   if (!result) {
-    const bool sent = result.error().failure != kernel::HttpFailure::kNotSent;
-    co_return Refusal(sent ? Outcome::kUnknown : Outcome::kNotRun, 502,
-                      result.error().what);
+    const kernel::HttpError& error = result.error();
+    attempt->problem = error.what;
+    if (error.failure == kernel::HttpFailure::kNotSent) {
+      attempt->failure = AttemptFailure::kNotSent;
+      refused_here = error.what == kernel::kNotAllowedToSend;
+      if (refused_here) effect = AttemptResult::kNotStarted;
+    } else if (error.failure == kernel::HttpFailure::kTimeout) {
+      attempt->failure = AttemptFailure::kTimeout;
+    } else {
+      attempt->failure = AttemptFailure::kBroken;
+    }
+  } else {
+    const std::string_view echoed = result->Header("Hemlockward-Request-Id");
+    if (!echoed.empty() && echoed != attempt->request->id) {
+      attempt->failure = AttemptFailure::kBroken;
+      attempt->problem = "the answer was to another request";
+    } else if (!result->Header("Hemlockward-Refused").empty() &&
+               result->status == 503) {
+      attempt->failure = AttemptFailure::kRefused;
+      attempt->problem = "the VM refused the request";
+      effect = AttemptResult::kNotStarted;
+    } else {
+      attempt->answer.outcome = Outcome::kDone;
+      attempt->answer.status = result->status;
+      attempt->answer.content_type =
+          std::string(result->Header("Content-Type"));
+      attempt->answer.body = std::move(result->body);
+      if (result->status >= 500) {
+        attempt->failure = AttemptFailure::kServerError;
+        attempt->problem = "status " + std::to_string(result->status);
+      } else {
+        effect = AttemptResult::kOk;
+      }
+    }
+  }
+  const Millis now = clock_.Now();
+  const auto elapsed = static_cast<double>((now - began).count);
+  const HealthChange change =
+      tables_.scheduler.Release(attempt->hold, effect, elapsed, now);
+  if (change != HealthChange::kNone) {
+    const bool ejected = change == HealthChange::kEjected;
+    tables_.metrics.Count(ejected ? "hemlockward_ejections_total"
+                                  : "hemlockward_readmissions_total");
+    base::LogLine(base::LogLevel::kWarning, "vm_health")
+        .With("vm", attempt->hold.vm.value)
+        .With("change", ejected ? "ejected" : "readmitted");
+  }
+  attempt->ended->Notify();
+}
+
+std::optional<Answer> Dispatcher::AfterFailure(Progress& progress,
+                                               const Attempt& attempt) {
+  AttemptHistory& history = progress.history;
+  const AttemptFailure failure = *attempt.failure;
+  const bool reached = failure != AttemptFailure::kNotSent &&
+                       failure != AttemptFailure::kRefused;
+  ++history.tries;
+  if (reached) {
+    ++history.attempts;
+    progress.may_have_run = true;
   }
-  const std::string_view echoed = result->Header("Hemlockward-Request-Id");
-  if (!echoed.empty() && echoed != request.id) {
-    co_return Refusal(Outcome::kUnknown, 502, "answer to another request");
+  auto& failed_on = progress.failed_on;
+  if (std::ranges::find(failed_on, attempt.hold.row) == failed_on.end()) {
+    failed_on.push_back(attempt.hold.row);
+    if (reached) ++history.failed_workers;
   }
-  if (result->Header("Hemlockward-Refused") == "slots") {
-    co_return Refusal(Outcome::kNotRun, 503, "the VM has no free slot");
+  history.remaining = progress.request->deadline - clock_.Now();
+  const RetryDecision decision =
+      tables_.scheduler.Decide(progress.request->service, history, failure);
+  if (decision.action == RetryAction::kRetry) {
+    progress.retry_delay = decision.delay;
+    tables_.metrics.Count(
+        "hemlockward_retries_total",
+        "service=\"" + progress.request->service.value + "\"");
+    return std::nullopt;
   }
-  Answer answer;
-  answer.outcome = Outcome::kDone;
-  answer.status = result->status;
-  answer.content_type = std::string(result->Header("Content-Type"));
-  answer.body = std::move(result->body);
-  metrics_.Count("hemlockward_requests_done");
-  co_return answer;
+  const bool whole = attempt.answer.outcome == Outcome::kDone &&
+                     failure == AttemptFailure::kServerError;
+  std::string reason = std::string(decision.reason) + ": " + attempt.problem;
+  Record(*progress.request, "answer", &attempt.hold, reason);
+  if (whole && decision.outcome == Outcome::kDone) return attempt.answer;
+  const Outcome outcome =
+      progress.may_have_run ? Outcome::kUnknown : decision.outcome;
+  return Refusal(outcome, outcome == Outcome::kNotRun ? 503 : 502,
+                 std::move(reason));
+}
+
+void Dispatcher::Record(const Request& request, std::string action,
+                        const SlotHold* hold, std::string_view reason) {
+  RoutingDecision decision;
+  decision.request_id = request.id;
+  decision.action = std::move(action);
+  if (hold != nullptr) decision.vm = hold->vm;
+  decision.reason = std::string(reason);
+  decision.revision =
+      hold != nullptr ? hold->revision : tables_.scheduler.revision();
+  decision.at = clock_.Now();
+  tables_.decisions.Add(std::move(decision));
+}
+
+void Dispatcher::Count(const Request& request, const Answer& answer,
+                       Millis began) {
+  const std::string label = "service=\"" + request.service.value + "\"";
+  tables_.metrics.Count(
+      "hemlockward_requests_total",
+      label + ",outcome=\"" + std::string(base::ToText(answer.outcome)) + "\"");
+  tables_.metrics.Observe("hemlockward_request_ms", label,
+                          static_cast<double>((clock_.Now() - began).count));
 }
 
 }  // namespace hemlockward::entry
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -1,52 +1,72 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <map>
+#include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "base/clock.h"
-#include "base/fleet.h"
 #include "base/metrics.h"
 #include "entry/decision_log.h"
 #include "entry/request.h"
+#include "entry/scheduler.h"
+#include "entry/view_guard.h"
 #include "kernel/http.h"
+#include "kernel/worker_pool.h"
 
 namespace hemlockward::entry {
 
-/// Sends requests to VMs: waits for a slot, chooses a VM, retries where that is
-/// safe, and tells what is known of the outcome. Thread-safe.
+/// Sends requests to VMs: waits for a slot, sends to the VM that was chosen,
+/// retries where that is safe, and tells what is known of the outcome.
+/// Thread-safe.
 class Dispatcher {
  public:
-  Dispatcher(kernel::HttpClient& http, const base::SystemClock& clock,
-             DecisionLog& decisions, base::Metrics& metrics);
+  struct Tables {
+    Scheduler& scheduler;
+    ViewGuard& guard;
+    DecisionLog& decisions;
+    base::Metrics& metrics;
+  };
+
+  /// `orphan_hold` is how long after its deadline a request is still listened
+  /// for, so that its slot isn't given away while a VM may be running it.
+  /// `on_waiting` is called when a request of a service has to wait.
+  Dispatcher(kernel::WorkerPool& pool, kernel::HttpClient& http,
+             const base::SystemClock& clock, Tables tables,
+             base::Millis orphan_hold,
+             std::function<void(const base::ServiceId&)> on_waiting);
 
-  /// From now on only `view` is routed by.
-  void Install(std::shared_ptr<const base::FleetView> view);
-  /// Revision of the view in force.
-  base::Revision revision();
-  /// Runs one request to its outcome.
-  boost::asio::awaitable<Answer> Run(Request request);
+  /// Runs one request to its outcome; the calling coroutine must be on a
+  /// strand. An answer is waited for until `linger` after the deadline.
+  boost::asio::awaitable<Answer> Run(Request request, base::Millis linger);
 
  private:
-  struct Choice {
-    base::VmRow vm;
-    base::Revision revision = 0;
-  };
+  struct Attempt;
+  struct Progress;
 
-  std::optional<Choice> Choose(const Request& request);
-  void Release(const base::VmId& vm);
+  boost::asio::awaitable<std::optional<Answer>> AwaitFreshView(
+      const Request& request);
+  boost::asio::awaitable<tl::expected<SlotHold, Answer>> AcquireSlot(
+      const Request& request, const Progress& progress);
+  boost::asio::awaitable<std::optional<Answer>> Try(Progress& progress,
+                                                    SlotHold hold);
+  boost::asio::awaitable<void> Send(std::shared_ptr<Attempt> attempt);
+  [[nodiscard]] bool MaySend(Attempt& attempt) const;
+  std::optional<Answer> AfterFailure(Progress& progress,
+                                     const Attempt& attempt);
+  void Record(const Request& request, std::string action, const SlotHold* hold,
+              std::string_view reason);
+  void Count(const Request& request, const Answer& answer, base::Millis began);
 
+  kernel::WorkerPool& pool_;
   kernel::HttpClient& http_;
   const base::SystemClock& clock_;
-  DecisionLog& decisions_;
-  base::Metrics& metrics_;
-  std::mutex mutex_;  // Guards all below; "slots" in the lock order.
-  std::shared_ptr<const base::FleetView> view_;
-  std::map<base::VmId, int> in_progress_;
+  Tables tables_;
+  base::Millis orphan_hold_;
+  std::function<void(const base::ServiceId&)> on_waiting_;
 };
 
 }  // namespace hemlockward::entry
--- /dev/null
+++ b/src/entry/keyed.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/fleet.h"
+#include "entry/claims.h"
+#include "entry/dispatch.h"
+#include "entry/outcome_store.h"
+#include "entry/owner.h"
+#include "entry/request.h"
+#include "kernel/worker_pool.h"
+#include "peer/transport.h"
+#include "peer/view_sync.h"
+
+namespace hemlockward::entry {
+
+/// Requests under an idempotency key: each runs at most once, at the one entry
+/// incarnation that owns its key, and every call under the key is told that
+/// run's outcome. Thread-safe.
+///
+/// A key whose request was answered not-run never runs later. An entry that
+/// isn't the owner and can't reach it answers unknown: another entry may have.
+class KeyedRequests {
+ public:
+  struct Options {
+    base::EntryRow self;
+    KeyPolicy policy;
+    ClaimLimits limits;
+    /// How long after its deadline a sent request is still listened for.
+    base::Millis linger;
+  };
+
+  KeyedRequests(kernel::WorkerPool& pool, const base::SystemClock& clock,
+                peer::ViewStore& view, Dispatcher& dispatcher,
+                Scheduler& scheduler, peer::PeerClient& peers,
+                OutcomeStore& store, Options options);
+
+  /// New keys that only this incarnation runs.
+  std::vector<std::string> Mint(int n);
+  /// Runs a request, here or at its owner. With `respond_async` the answer is
+  /// a 202 as soon as the owner has claimed the key; the outcome is stored.
+  boost::asio::awaitable<Answer> Run(Request request, bool respond_async);
+  /// What became of a key; with `cancel` it is cancelled unless already sent.
+  boost::asio::awaitable<Answer> Ask(std::string key, bool cancel);
+  /// Answers a peer's ForwardRequest or OutcomeRequest.
+  boost::asio::awaitable<peer::gen::Message> AnswerPeer(
+      std::shared_ptr<const peer::gen::Message> call);
+  /// Requests of this owner that haven't ended, or whose outcome isn't stored.
+  [[nodiscard]] int running() const { return running_; }
+
+ private:
+  struct Caller;
+
+  tl::expected<Owner, OwnerRefusal> FindOwner(const Key& key) const;
+  [[nodiscard]] bool IsSelf(const base::EntryRow& row) const;
+  boost::asio::awaitable<Answer> RunHere(Key key, Request request,
+                                         bool respond_async);
+  boost::asio::awaitable<void> Execute(Key key, Request request,
+                                       bool respond_async);
+  void Finish(const Key& key, const OutcomePtr& outcome);
+  void NotifyAll(const std::vector<Waiter>& waiters, const OutcomePtr& outcome);
+  Answer AskHere(const Key& key, bool cancel);
+  boost::asio::awaitable<std::optional<Answer>> Forward(const Key& key,
+                                                        base::EntryRow owner,
+                                                        const Request& request,
+                                                        bool respond_async);
+  boost::asio::awaitable<std::optional<Answer>> AskOwner(const Key& key,
+                                                         base::EntryRow owner,
+                                                         bool cancel);
+  boost::asio::awaitable<Answer> Stored(std::string key,
+                                        std::string_view why_not);
+
+  kernel::WorkerPool& pool_;
+  const base::SystemClock& clock_;
+  peer::ViewStore& view_;
+  Dispatcher& dispatcher_;
+  Scheduler& scheduler_;
+  peer::PeerClient& peers_;
+  OutcomeStore& store_;
+  Options options_;
+  std::atomic<std::uint64_t> next_key_{1};
+  std::atomic<int> running_{0};
+
+  std::mutex mutex_;  // Guards all below; "claims" in the lock order.
+  Claims claims_;
+  std::unordered_map<Waiter, std::shared_ptr<Caller>> callers_;
+  std::unordered_map<std::string, std::uint64_t> numbers_;  // Of running keys.
+  Waiter next_waiter_ = 1;
+};
+
+}  // namespace hemlockward::entry
--- /dev/null
+++ b/src/entry/loans.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include "base/clock.h"
+#include "entry/peers.h"
+#include "entry/scheduler.h"
+#include "kernel/worker_pool.h"
+#include "peer/transport.h"
+
+namespace hemlockward::peer::gen {
+class SlotRequest;
+}  // namespace hemlockward::peer::gen
+
+namespace hemlockward::entry {
+
+/// Borrows free slots from peers while requests wait here, and lends ours.
+class Loans {
+ public:
+  Loans(kernel::WorkerPool& pool, const base::SystemClock& clock,
+        peer::PeerClient& client, Scheduler& scheduler, const Peers& peers,
+        base::EntryRow self);
+
+  /// Borrows for a service until nothing waits for it; returns at once when
+  /// that is being done already.
+  void BorrowFor(const base::ServiceId& service);
+  /// Answers a peer that asks for slots or gives some back.
+  peer::gen::Message Answer(const peer::gen::SlotRequest& request);
+  /// Gives every free slot to one peer; for a planned stop.
+  boost::asio::awaitable<void> ReturnAll();
+
+ private:
+  boost::asio::awaitable<void> Borrow(base::ServiceId service);
+  boost::asio::awaitable<int> AskPeer(base::ServiceId service,
+                                      std::string address, bool* ended);
+  [[nodiscard]] std::vector<std::string> Lenders(
+      const base::ServiceId& service) const;
+
+  kernel::WorkerPool& pool_;
+  const base::SystemClock& clock_;
+  peer::PeerClient& client_;
+  Scheduler& scheduler_;
+  const Peers& peers_;
+  base::EntryRow self_;
+};
+
+}  // namespace hemlockward::entry
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -94,6 +94,9 @@
   heartbeat.__set_is_entry(true);
   heartbeat.__set_demand(own.demand);
   heartbeat.__set_stopping(own.stopping);
+  heartbeat.__set_membership_number(
+      static_cast<std::int64_t>(own.slots.number));
+  heartbeat.__set_overhang(own.slots.overhang);
   gen::Message message;
   message.__set_heartbeat(heartbeat);
   const auto answer = co_await client_.Call(address, message, options_.timeout);
@@ -108,6 +111,9 @@
   status.sent = sent;
   status.stopping = reply.stopping;
   status.demand = reply.demand;
+  status.address = address;
+  status.slots = {static_cast<std::uint64_t>(reply.membership_number),
+                  reply.overhang};
   {
     const std::lock_guard lock(mutex_);
     statuses_[address] = status;
@@ -158,6 +164,8 @@
   reply.__set_busy_vms(own.busy_vms);
   reply.__set_demand(own.demand);
   reply.__set_stopping(own.stopping);
+  reply.__set_membership_number(static_cast<std::int64_t>(own.slots.number));
+  reply.__set_overhang(own.slots.overhang);
   answer.__set_heartbeat_reply(reply);
   return answer;
 }
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/fleet.h"
+#include "entry/slots.h"
 #include "kernel/worker_pool.h"
 #include "peer/transport.h"
 #include "peer/view_sync.h"
@@ -24,6 +25,7 @@
   std::vector<std::string> busy_vms;
   std::map<std::string, std::int32_t> demand;
   bool stopping = false;
+  SlotReport slots;
 };
 
 /// What a peer's newest heartbeat reply said.
@@ -34,6 +36,8 @@
   base::Millis sent;  ///< When the heartbeat that it answered was sent.
   bool stopping = false;
   std::map<std::string, std::int32_t> demand;
+  std::string address;
+  SlotReport slots;
 };
 
 /// Exchanges heartbeats with every known peer and fetches changes from those
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -8,13 +8,19 @@
 #include "base/random.h"
 #include "entry/decision_log.h"
 #include "entry/dispatch.h"
+#include "entry/keyed.h"
+#include "entry/loans.h"
+#include "entry/outcome_store.h"
 #include "entry/peers.h"
 #include "entry/registration.h"
+#include "entry/scheduler.h"
 #include "entry/server.h"
+#include "entry/view_guard.h"
 #include "kernel/http.h"
 #include "peer/gen/peer_types.h"
 #include "peer/transport.h"
 #include "peer/view_sync.h"
+#include "platform/services.h"
 #include "platform/table.h"
 
 namespace hemlockward::entry {
@@ -27,6 +33,8 @@
 constexpr std::size_t kDecisionsKept = 20'000;
 constexpr Millis kRegistrationInterval = base::Seconds(2);
 constexpr Millis kStopPoll{20};
+// All entries together stay below a VM's 64 connections.
+constexpr int kIdlePerVm = 8;
 
 base::Incarnation NewIncarnation() {
   // Positive as a Thrift i64, and never 0.
@@ -43,6 +51,17 @@
   return self;
 }
 
+KeyedRequests::Options MakeKeyedOptions(const EntrySettings& settings,
+                                        const base::EntryRow& self) {
+  KeyedRequests::Options options;
+  options.self = self;
+  options.policy = {settings.max_skew, settings.key_lifetime};
+  options.limits.max_outcome_bytes =
+      static_cast<std::size_t>(settings.outcome_bytes);
+  options.linger = settings.orphan_hold;
+  return options;
+}
+
 }  // namespace
 
 struct EntryProcess::State {
@@ -50,11 +69,14 @@
 
   EntryStatus OwnStatus();
   void OnView();
+  void OnReply(const PeerStatus& status);
+  void FillMetrics();
   std::string CannotServe() const;
   std::string NotReady() const;
   asio::awaitable<peer::gen::Message> AnswerPeer(peer::gen::Message call);
   asio::awaitable<void> PollView();
   asio::awaitable<void> KeepRegistered();
+  int InProgress() const;
   asio::awaitable<void> FinishStop();
 
   kernel::WorkerPool& pool;
@@ -66,10 +88,16 @@
   kernel::HttpClient platform_http;
   kernel::HttpClient target_http;
   platform::TableClient table;
+  platform::ObjectClient objects;
+  OutcomeStore outcomes;
   peer::PeerClient peer_client;
   peer::ViewStore view;
+  Scheduler scheduler;
+  ViewGuard guard;
   Dispatcher dispatcher;
   Peers peers;
+  Loans loans;
+  KeyedRequests keyed;
   Registration registration;
   CallerApi api;
   std::atomic<bool> stopping{false};
@@ -82,34 +110,66 @@
       settings(std::move(with)),
       self(MakeSelf(settings)),
       platform_http(pool),
-      target_http(pool, 64,
+      target_http(pool, kIdlePerVm,
                   static_cast<std::uint64_t>(settings.max_body_bytes)),
       table(platform_http, {settings.platform, settings.platform_timeout, 2}),
+      objects(platform_http, {settings.platform, settings.platform_timeout}),
+      outcomes(objects),
       peer_client(pool),
-      dispatcher(target_http, clock, decisions, metrics),
+      scheduler(self, settings.orphan_hold, base::SystemSeed()),
+      guard(self, settings.view_lease),
+      dispatcher(
+          pool, target_http, clock, {scheduler, guard, decisions, metrics},
+          settings.orphan_hold,
+          [this](const base::ServiceId& service) { loans.BorrowFor(service); }),
       peers(
           pool, clock, peer_client, view,
           {self, settings.peers, settings.heartbeat, settings.peer_timeout},
-          [this] { return OwnStatus(); }, [](const PeerStatus&) {},
+          [this] { return OwnStatus(); },
+          [this](const PeerStatus& status) { OnReply(status); },
           [this] { OnView(); }),
+      loans(pool, clock, peer_client, scheduler, peers, self),
+      keyed(pool, clock, view, dispatcher, scheduler, peer_client, outcomes,
+            MakeKeyedOptions(settings, self)),
       registration(table, self),
       api(
-          settings, clock, dispatcher, decisions, metrics,
-          [this] { return CannotServe(); }, [this] { return NotReady(); }) {}
+          settings, clock, dispatcher, keyed, decisions, metrics,
+          [this] { FillMetrics(); }, [this] { return CannotServe(); },
+          [this] { return NotReady(); }) {}
 
 EntryStatus EntryProcess::State::OwnStatus() {
-  EntryStatus status;
-  status.revision = dispatcher.revision();
+  EntryStatus status = scheduler.Status();
   status.stopping = stopping;
   return status;
 }
 
-void EntryProcess::State::OnView() { dispatcher.Install(view.Snapshot()); }
+// The scheduler goes first: the guard vouches only for a view that is in force.
+void EntryProcess::State::OnView() {
+  const auto snapshot = view.Snapshot();
+  scheduler.Install(snapshot, clock.Now());
+  guard.Install(snapshot);
+}
+
+void EntryProcess::State::OnReply(const PeerStatus& status) {
+  guard.OnPeerReply(status.entry, status.incarnation, status.sent,
+                    status.revision);
+  scheduler.OnPeerReport(status, clock.Now());
+}
+
+void EntryProcess::State::FillMetrics() {
+  scheduler.FillMetrics(metrics);
+  const Millis now = clock.Now();
+  const auto read = view.table_read_sent();
+  metrics.Set("hemlockward_view_fresh", "", guard.MayServe(now) ? 1 : 0);
+  metrics.Set("hemlockward_table_age_ms", "",
+              read ? static_cast<double>((now - *read).count) : -1);
+  metrics.Set("hemlockward_registered", "", registration.registered() ? 1 : 0);
+  metrics.Set("hemlockward_keyed_running", "", keyed.running());
+}
 
 // Why requests can't be served; during a planned stop they still are.
 std::string EntryProcess::State::CannotServe() const {
-  if (view.revision() == 0) return "no view of the fleet yet";
-  return {};
+  return guard.Reason(clock.Now());
 }
 
 std::string EntryProcess::State::NotReady() const {
@@ -118,6 +178,11 @@
 
 asio::awaitable<peer::gen::Message> EntryProcess::State::AnswerPeer(
     peer::gen::Message call) {
+  if (call.__isset.slot_request) co_return loans.Answer(call.slot_request);
+  if (call.__isset.forward_request || call.__isset.outcome_request) {
+    co_return co_await keyed.AnswerPeer(
+        std::make_shared<const peer::gen::Message>(call));
+  }
   co_return peers.Answer(call);
 }
 
@@ -130,6 +195,9 @@
           .With("error", head.error().what);
     }
     OnView();
+    if (const auto sent = view.table_read_sent(); head && sent) {
+      guard.OnTableRead(*sent, *head);
+    }
     co_await kernel::Sleep(settings.view_poll);
   }
 }
@@ -147,13 +215,19 @@
   pool.Stop();
 }
 
+int EntryProcess::State::InProgress() const {
+  return http_server->requests_in_progress() + keyed.running();
+}
+
 asio::awaitable<void> EntryProcess::State::FinishStop() {
   co_await kernel::Sleep(settings.stop_notice);
   const Millis limit = clock.Now() + settings.stop_limit;
-  while (http_server->requests_in_progress() > 0 && clock.Now() < limit) {
+  while (InProgress() > 0 && clock.Now() < limit) {
     co_await kernel::Sleep(kStopPoll);
   }
   http_server->CloseIdle();
+  co_await loans.ReturnAll();
+  peers.Stop();
   pool.Stop();
 }
 
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 #include "base/clock.h"
@@ -17,6 +19,9 @@
   base::Millis deadline;  ///< On this process's monotonic clock.
   std::string content_type;
   std::string body;
+  std::uint64_t number = 0;  ///< Unique within this process.
+  /// Asked right before the first byte goes to a target; false stops it.
+  std::function<bool()> may_send;
 };
 
 /// What the caller is told.
--- a/src/entry/server.cc
+++ b/src/entry/server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <charconv>
@@ -22,6 +23,8 @@
 
 constexpr std::size_t kMaxRequestIdBytes = 128;
 constexpr std::size_t kMaxKeyBytes = 256;
+constexpr std::int64_t kMostKeysMinted = 1000;
+constexpr int kAccepted = 202;
 
 std::string NewRequestId() {
   thread_local base::Random random(base::SystemSeed());
@@ -128,14 +131,17 @@
 
 CallerApi::CallerApi(const EntrySettings& settings,
                      const base::SystemClock& clock, Dispatcher& dispatcher,
-                     DecisionLog& decisions, base::Metrics& metrics,
+                     KeyedRequests& keyed, DecisionLog& decisions,
+                     base::Metrics& metrics, std::function<void()> fill_metrics,
                      std::function<std::string()> cannot_serve,
                      std::function<std::string()> not_ready)
     : settings_(settings),
       clock_(clock),
       dispatcher_(dispatcher),
+      keyed_(keyed),
       decisions_(decisions),
       metrics_(metrics),
+      fill_metrics_(std::move(fill_metrics)),
       cannot_serve_(std::move(cannot_serve)),
       not_ready_(std::move(not_ready)) {}
 
@@ -147,6 +153,7 @@
   if (get && path == "/readyz") co_return HandleReady();
   if (get && path == "/metrics") {
     HttpResponse response;
+    fill_metrics_();
     response.body = metrics_.ToPrometheus();
     response.With("Content-Type", "text/plain; version=0.0.4");
     co_return response;
@@ -154,6 +161,13 @@
   if (get && parts.size() == 4 && parts[1] == "why" && parts[2] == "request") {
     co_return HandleWhy(parts[3]);
   }
+  if (parts.size() == 3 && parts[0] == "v1" && parts[1] == "requests" &&
+      (get || request.method == "DELETE")) {
+    co_return co_await HandleKey(request, parts[2]);
+  }
+  if (request.method == "POST" && path == "/v1/keys") {
+    co_return HandleMint(request);
+  }
   if (parts.size() == 4 && parts[0] == "v1" && parts[1] == "services" &&
       parts[3] == "requests") {
     if (request.method == "POST") {
@@ -174,14 +188,70 @@
                      NewRequestId());
   }
   const std::string id = request->id;
+  const bool respond_async =
+      message.Header("Prefer").find("respond-async") != std::string_view::npos;
+  if (respond_async && request->key.empty()) {
+    request->key = keyed_.Mint(1).front();
+  }
+  const std::string key = request->key;
+  const Answer answer = co_await Run(std::move(*request), respond_async);
+  HttpResponse response = ToHttp(answer, id);
+  if (answer.status == kAccepted && answer.outcome == Outcome::kUnknown) {
+    response.With("Location", "/v1/requests/" + key);
+  }
+  co_return response;
+}
+
+// A repeatable request under a key that isn't ours to own runs without a claim.
+asio::awaitable<Answer> CallerApi::Run(Request request, bool respond_async) {
+  const bool owned = ParseKey(request.key).has_value();
+  if (!request.repeatable || respond_async || owned) {
+    co_return co_await keyed_.Run(std::move(request), respond_async);
+  }
+  co_return co_await dispatcher_.Run(std::move(request), Millis{0});
+}
+
+asio::awaitable<HttpResponse> CallerApi::HandleKey(const HttpRequest& request,
+                                                   std::string_view key) {
+  const bool cancel = request.method == "DELETE";
+  const Answer answer = co_await keyed_.Ask(std::string(key), cancel);
+  HttpResponse response = ToHttp(answer, NewRequestId());
+  if (answer.status == kAccepted) {
+    response.With("Location", "/v1/requests/" + std::string(key));
+  }
+  co_return response;
+}
+
+// Body: {"count": n}; empty stands for one key.
+HttpResponse CallerApi::HandleMint(const HttpRequest& request) {
+  int n = 1;
+  if (!request.body.empty()) {
+    boost::system::error_code ec;
+    const json::value body = json::parse(request.body, ec);
+    const json::value* count = !ec && body.is_object()
+                                   ? body.as_object().if_contains("count")
+                                   : nullptr;
+    const bool valid = count != nullptr && count->is_int64() &&
+                       count->as_int64() >= 1 &&
+                       count->as_int64() <= kMostKeysMinted;
+    if (!valid) {
+      return ToHttp(
+          Refusal(Outcome::kNotRun, 400, "body: {\"count\": 1 to 1000}"),
+          NewRequestId());
+    }
+    n = static_cast<int>(count->as_int64());
+  }
   const std::string reason = cannot_serve_();
   if (!reason.empty()) {
-    Answer answer = Refusal(Outcome::kNotRun, 503, reason);
-    answer.retry_after = base::Seconds(1);
-    co_return ToHttp(answer, id);
+    return ToHttp(Refusal(Outcome::kNotRun, 503, reason), NewRequestId());
   }
-  const Answer answer = co_await dispatcher_.Run(std::move(*request));
-  co_return ToHttp(answer, id);
+  json::array keys;
+  for (const std::string& it : keyed_.Mint(n)) keys.emplace_back(it);
+  HttpResponse response = kernel::JsonResponse(
+      200, json::serialize(json::value{
+               {"keys", keys}, {"lifetime_ms", settings_.key_lifetime.count}}));
+  response.With("Hemlockward-Request-Id", NewRequestId());
+  return response;
 }
 
 HttpResponse CallerApi::HandleReady() const {
--- a/src/entry/server.h
+++ b/src/entry/server.h
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "entry/decision_log.h"
 #include "entry/dispatch.h"
+#include "entry/keyed.h"
 #include "entry/request.h"
 #include "entry/settings.h"
 #include "kernel/http.h"
@@ -20,11 +21,14 @@
 /// `Hemlockward-Outcome`; errors are `application/problem+json`.
 class CallerApi {
  public:
-  /// `cannot_serve` returns why requests can't be served now, `not_ready` why
-  /// no more should be sent here; both nothing when all is well.
+  /// `fill_metrics` sets the gauges before they are printed; `cannot_serve`
+  /// returns why requests can't be served now, `not_ready` why no more should
+  /// be sent here; both nothing when all is well.
   CallerApi(const EntrySettings& settings, const base::SystemClock& clock,
-            Dispatcher& dispatcher, DecisionLog& decisions,
-            base::Metrics& metrics, std::function<std::string()> cannot_serve,
+            Dispatcher& dispatcher, KeyedRequests& keyed,
+            DecisionLog& decisions, base::Metrics& metrics,
+            std::function<void()> fill_metrics,
+            std::function<std::string()> cannot_serve,
             std::function<std::string()> not_ready);
 
   boost::asio::awaitable<kernel::HttpResponse> Handle(
@@ -33,14 +37,20 @@
  private:
   boost::asio::awaitable<kernel::HttpResponse> HandleRequest(
       kernel::HttpRequest request, std::string_view service);
+  boost::asio::awaitable<kernel::HttpResponse> HandleKey(
+      const kernel::HttpRequest& request, std::string_view key);
+  boost::asio::awaitable<Answer> Run(Request request, bool respond_async);
+  kernel::HttpResponse HandleMint(const kernel::HttpRequest& request);
   kernel::HttpResponse HandleReady() const;
   kernel::HttpResponse HandleWhy(std::string_view request_id) const;
 
   const EntrySettings& settings_;
   const base::SystemClock& clock_;
   Dispatcher& dispatcher_;
+  KeyedRequests& keyed_;
   DecisionLog& decisions_;
   base::Metrics& metrics_;
+  std::function<void()> fill_metrics_;
   std::function<std::string()> cannot_serve_;
   std::function<std::string()> not_ready_;
 };
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -40,6 +40,9 @@
   reader.Duration("max_skew", &settings.max_skew,
                   "largest difference between two wall clocks", {0},
                   Seconds(60));
+  reader.Duration("orphan_hold", &settings.orphan_hold,
+                  "how long a slot is held for a request given up on", {0},
+                  Minutes(60));
   reader.Duration("key_lifetime", &settings.key_lifetime,
                   "age at which a key is no longer run", Seconds(1), Hours(24));
   reader.Duration("request_timeout", &settings.request_timeout,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -24,6 +24,8 @@
   base::Millis platform_timeout{2000};  ///< For one call to the platform.
   base::Millis peer_timeout{1000};      ///< For one heartbeat or delta call.
   base::Millis max_skew{500};  ///< Between wall clocks of two machines.
+  /// How long a request that lost its caller is taken to run on at a VM.
+  base::Millis orphan_hold = base::Seconds(30);
   base::Millis key_lifetime = base::Minutes(10);
   base::Millis request_timeout = base::Seconds(30);  ///< When none is asked.
   base::Millis max_request_timeout = base::Hours(6);
--- a/src/entry/waiter.cc
+++ b/src/entry/signal.cc
@@ -1,4 +1,4 @@
-#include "entry/waiter.h"
+#include "entry/signal.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -10,9 +10,9 @@
 
 namespace asio = boost::asio;
 
-Waiter::Waiter(const asio::any_io_executor& strand) : timer_(strand) {}
+Signal::Signal(const asio::any_io_executor& strand) : timer_(strand) {}
 
-asio::awaitable<bool> Waiter::WaitFor(base::Millis limit) {
+asio::awaitable<bool> Signal::WaitFor(base::Millis limit) {
   if (notified_) co_return true;
   boost::system::error_code ec;
   timer_.expires_after(limit.ToChrono());
@@ -22,14 +22,14 @@
 
 // The cancellation runs on the waiting coroutine's strand, so it can't fall
 // between that coroutine's check and its wait.
-void Waiter::Notify() {
+void Signal::Notify() {
   if (notified_.exchange(true)) return;
   asio::post(timer_.get_executor(),
              [self = shared_from_this()] { self->timer_.cancel(); });
 }
 
-asio::awaitable<std::shared_ptr<Waiter>> MakeWaiter() {
-  co_return std::make_shared<Waiter>(co_await asio::this_coro::executor);
+asio::awaitable<std::shared_ptr<Signal>> MakeSignal() {
+  co_return std::make_shared<Signal>(co_await asio::this_coro::executor);
 }
 
 }  // namespace hemlockward::entry
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -334,6 +334,9 @@
 // A kept connection is closed by us before the server's own idle timeout may.
 constexpr base::Millis kMaxIdle = base::Seconds(20);
 
+// A machine that is gone doesn't answer; one that is there does so at once.
+constexpr base::Millis kConnectTimeout = base::Seconds(1);
+
 struct KeptConnection {
   std::unique_ptr<beast::tcp_stream> stream;
   base::Millis since;
@@ -360,6 +363,7 @@
             std::unique_ptr<beast::tcp_stream> stream);
   asio::awaitable<tl::expected<HttpResponse, HttpError>> Exchange(
       std::string address, HttpRequest request, base::Millis timeout,
+      std::function<bool()> may_send,
       std::unique_ptr<beast::tcp_stream> stream);
 
   WorkerPool& pool;
@@ -396,11 +400,13 @@
 asio::awaitable<tl::expected<HttpResponse, HttpError>>
 HttpClient::State::Exchange(std::string address, HttpRequest request,
                             base::Millis timeout,
+                            std::function<bool()> may_send,
                             std::unique_ptr<beast::tcp_stream> stream) {
   error_code ec;
   const bool connected = stream->socket().is_open();
-  stream->expires_after(timeout.ToChrono());
+  const base::Millis deadline = clock.Now() + timeout;
   if (!connected) {
+    stream->expires_after(std::min(timeout, kConnectTimeout).ToChrono());
     co_await stream->async_connect(ParseAddress(address), Redirect(ec));
     if (ec) {
       co_return tl::unexpected(HttpError{HttpFailure::kNotSent, ec.message()});
@@ -416,6 +422,11 @@
   for (const HttpHeader& it : request.headers) message.set(it.name, it.value);
   message.body() = std::move(request.body);
   message.prepare_payload();
+  if (may_send && !may_send()) {
+    co_return tl::unexpected(
+        HttpError{HttpFailure::kNotSent, std::string(kNotAllowedToSend)});
+  }
+  stream->expires_after((deadline - clock.Now()).ToChrono());
   co_await http::async_write(*stream, message, Redirect(ec));
   if (ec) {
     const auto failure = ec == beast::error::timeout ? HttpFailure::kTimeout
@@ -462,7 +473,8 @@
 }
 
 asio::awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::Call(
-    std::string address, HttpRequest request, base::Millis timeout) {
+    std::string address, HttpRequest request, base::Millis timeout,
+    std::function<bool()> may_send) {
   auto state = state_;
   auto stream = state->TakeKept(address);
   if (!stream) {
@@ -470,8 +482,9 @@
         asio::make_strand(state->pool.context()));
   }
   const auto executor = stream->get_executor();
-  auto exchange = state->Exchange(std::move(address), std::move(request),
-                                  timeout, std::move(stream));
+  auto exchange =
+      state->Exchange(std::move(address), std::move(request), timeout,
+                      std::move(may_send), std::move(stream));
   co_return co_await asio::co_spawn(executor, std::move(exchange),
                                     asio::use_awaitable);
 }
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -103,6 +103,10 @@
   std::string what;
 };
 
+/// What HttpError says when `may_send` ended a call.
+inline constexpr std::string_view kNotAllowedToSend =
+    "no longer allowed to be sent";
+
 /// Keep-alive connections to any number of addresses.
 class HttpClient {
  public:
@@ -111,9 +115,11 @@
   ~HttpClient();
   /// Sends one request and returns the whole answer, its length checked. A
   /// kept connection that turns out closed before any byte was sent is
-  /// replaced once.
+  /// replaced once. `may_send`, if given, is asked after the connection stands
+  /// and right before the first byte; false ends the call with kNotSent.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
-      std::string address, HttpRequest request, base::Millis timeout);
+      std::string address, HttpRequest request, base::Millis timeout,
+      std::function<bool()> may_send = {});
 
  private:
   struct State;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -57,6 +57,14 @@
 void Heartbeat::__set_stopping(const bool val) {
   this->stopping = val;
 }
+
+void Heartbeat::__set_membership_number(const int64_t val) {
+  this->membership_number = val;
+}
+
+void Heartbeat::__set_overhang(const std::vector<std::string> & val) {
+  this->overhang = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -192,6 +200,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membership_number);
+          this->__isset.membership_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->overhang.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->overhang.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += iprot->readString(this->overhang[_i16]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.overhang = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -236,10 +272,10 @@
   xfer += oprot->writeFieldBegin("busy_vms", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->busy_vms.size()));
-    std::vector<std::string> ::const_iterator _iter12;
-    for (_iter12 = this->busy_vms.begin(); _iter12 != this->busy_vms.end(); ++_iter12)
+    std::vector<std::string> ::const_iterator _iter17;
+    for (_iter17 = this->busy_vms.begin(); _iter17 != this->busy_vms.end(); ++_iter17)
     {
-      xfer += oprot->writeString((*_iter12));
+      xfer += oprot->writeString((*_iter17));
     }
     xfer += oprot->writeListEnd();
   }
@@ -252,11 +288,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 9);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter13;
-    for (_iter13 = this->demand.begin(); _iter13 != this->demand.end(); ++_iter13)
+    std::map<std::string, int32_t> ::const_iterator _iter18;
+    for (_iter18 = this->demand.begin(); _iter18 != this->demand.end(); ++_iter18)
     {
-      xfer += oprot->writeString(_iter13->first);
-      xfer += oprot->writeI32(_iter13->second);
+      xfer += oprot->writeString(_iter18->first);
+      xfer += oprot->writeI32(_iter18->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -266,6 +302,22 @@
   xfer += oprot->writeBool(this->stopping);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("membership_number", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->membership_number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("overhang", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->overhang.size()));
+    std::vector<std::string> ::const_iterator _iter19;
+    for (_iter19 = this->overhang.begin(); _iter19 != this->overhang.end(); ++_iter19)
+    {
+      xfer += oprot->writeString((*_iter19));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -283,34 +335,40 @@
   swap(a.is_entry, b.is_entry);
   swap(a.demand, b.demand);
   swap(a.stopping, b.stopping);
+  swap(a.membership_number, b.membership_number);
+  swap(a.overhang, b.overhang);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other14) {
-  version = other14.version;
-  sender = other14.sender;
-  incarnation = other14.incarnation;
-  revision = other14.revision;
-  table_age_ms = other14.table_age_ms;
-  sent_ms = other14.sent_ms;
-  busy_vms = other14.busy_vms;
-  is_entry = other14.is_entry;
-  demand = other14.demand;
-  stopping = other14.stopping;
-  __isset = other14.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other15) {
-  version = other15.version;
-  sender = other15.sender;
-  incarnation = other15.incarnation;
-  revision = other15.revision;
-  table_age_ms = other15.table_age_ms;
-  sent_ms = other15.sent_ms;
-  busy_vms = other15.busy_vms;
-  is_entry = other15.is_entry;
-  demand = other15.demand;
-  stopping = other15.stopping;
-  __isset = other15.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other20) {
+  version = other20.version;
+  sender = other20.sender;
+  incarnation = other20.incarnation;
+  revision = other20.revision;
+  table_age_ms = other20.table_age_ms;
+  sent_ms = other20.sent_ms;
+  busy_vms = other20.busy_vms;
+  is_entry = other20.is_entry;
+  demand = other20.demand;
+  stopping = other20.stopping;
+  membership_number = other20.membership_number;
+  overhang = other20.overhang;
+  __isset = other20.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other21) {
+  version = other21.version;
+  sender = other21.sender;
+  incarnation = other21.incarnation;
+  revision = other21.revision;
+  table_age_ms = other21.table_age_ms;
+  sent_ms = other21.sent_ms;
+  busy_vms = other21.busy_vms;
+  is_entry = other21.is_entry;
+  demand = other21.demand;
+  stopping = other21.stopping;
+  membership_number = other21.membership_number;
+  overhang = other21.overhang;
+  __isset = other21.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -326,6 +384,8 @@
   out << ", " << "is_entry=" << to_string(is_entry);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "stopping=" << to_string(stopping);
+  out << ", " << "membership_number=" << to_string(membership_number);
+  out << ", " << "overhang=" << to_string(overhang);
   out << ")";
 }
 
@@ -369,6 +429,14 @@
 void HeartbeatReply::__set_stopping(const bool val) {
   this->stopping = val;
 }
+
+void HeartbeatReply::__set_membership_number(const int64_t val) {
+  this->membership_number = val;
+}
+
+void HeartbeatReply::__set_overhang(const std::vector<std::string> & val) {
+  this->overhang = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -449,14 +517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->busy_vms.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->busy_vms.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->busy_vms.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readString(this->busy_vms[_i20]);
+              xfer += iprot->readString(this->busy_vms[_i26]);
             }
             xfer += iprot->readListEnd();
           }
@@ -469,17 +537,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->demand.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _ktype22;
-            ::apache::thrift::protocol::TType _vtype23;
-            xfer += iprot->readMapBegin(_ktype22, _vtype23, _size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _ktype28;
+            ::apache::thrift::protocol::TType _vtype29;
+            xfer += iprot->readMapBegin(_ktype28, _vtype29, _size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              std::string _key26;
-              xfer += iprot->readString(_key26);
-              int32_t& _val27 = this->demand[_key26];
-              xfer += iprot->readI32(_val27);
+              std::string _key32;
+              xfer += iprot->readString(_key32);
+              int32_t& _val33 = this->demand[_key32];
+              xfer += iprot->readI32(_val33);
             }
             xfer += iprot->readMapEnd();
           }
@@ -496,6 +564,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membership_number);
+          this->__isset.membership_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->overhang.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->overhang.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readString(this->overhang[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.overhang = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -540,10 +636,10 @@
   xfer += oprot->writeFieldBegin("busy_vms", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->busy_vms.size()));
-    std::vector<std::string> ::const_iterator _iter28;
-    for (_iter28 = this->busy_vms.begin(); _iter28 != this->busy_vms.end(); ++_iter28)
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->busy_vms.begin(); _iter39 != this->busy_vms.end(); ++_iter39)
     {
-      xfer += oprot->writeString((*_iter28));
+      xfer += oprot->writeString((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -552,11 +648,11 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_MAP, 8);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter29;
-    for (_iter29 = this->demand.begin(); _iter29 != this->demand.end(); ++_iter29)
+    std::map<std::string, int32_t> ::const_iterator _iter40;
+    for (_iter40 = this->demand.begin(); _iter40 != this->demand.end(); ++_iter40)
     {
-      xfer += oprot->writeString(_iter29->first);
-      xfer += oprot->writeI32(_iter29->second);
+      xfer += oprot->writeString(_iter40->first);
+      xfer += oprot->writeI32(_iter40->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -566,6 +662,22 @@
   xfer += oprot->writeBool(this->stopping);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("membership_number", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->membership_number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("overhang", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->overhang.size()));
+    std::vector<std::string> ::const_iterator _iter41;
+    for (_iter41 = this->overhang.begin(); _iter41 != this->overhang.end(); ++_iter41)
+    {
+      xfer += oprot->writeString((*_iter41));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -582,32 +694,38 @@
   swap(a.busy_vms, b.busy_vms);
   swap(a.demand, b.demand);
   swap(a.stopping, b.stopping);
+  swap(a.membership_number, b.membership_number);
+  swap(a.overhang, b.overhang);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other30) {
-  version = other30.version;
-  sender = other30.sender;
-  incarnation = other30.incarnation;
-  revision = other30.revision;
-  table_age_ms = other30.table_age_ms;
-  echo_sent_ms = other30.echo_sent_ms;
-  busy_vms = other30.busy_vms;
-  demand = other30.demand;
-  stopping = other30.stopping;
-  __isset = other30.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other31) {
-  version = other31.version;
-  sender = other31.sender;
-  incarnation = other31.incarnation;
-  revision = other31.revision;
-  table_age_ms = other31.table_age_ms;
-  echo_sent_ms = other31.echo_sent_ms;
-  busy_vms = other31.busy_vms;
-  demand = other31.demand;
-  stopping = other31.stopping;
-  __isset = other31.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other42) {
+  version = other42.version;
+  sender = other42.sender;
+  incarnation = other42.incarnation;
+  revision = other42.revision;
+  table_age_ms = other42.table_age_ms;
+  echo_sent_ms = other42.echo_sent_ms;
+  busy_vms = other42.busy_vms;
+  demand = other42.demand;
+  stopping = other42.stopping;
+  membership_number = other42.membership_number;
+  overhang = other42.overhang;
+  __isset = other42.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other43) {
+  version = other43.version;
+  sender = other43.sender;
+  incarnation = other43.incarnation;
+  revision = other43.revision;
+  table_age_ms = other43.table_age_ms;
+  echo_sent_ms = other43.echo_sent_ms;
+  busy_vms = other43.busy_vms;
+  demand = other43.demand;
+  stopping = other43.stopping;
+  membership_number = other43.membership_number;
+  overhang = other43.overhang;
+  __isset = other43.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -622,6 +740,8 @@
   out << ", " << "busy_vms=" << to_string(busy_vms);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "stopping=" << to_string(stopping);
+  out << ", " << "membership_number=" << to_string(membership_number);
+  out << ", " << "overhang=" << to_string(overhang);
   out << ")";
 }
 
@@ -718,15 +838,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DeltaRequest::DeltaRequest(const DeltaRequest& other32) noexcept {
-  from_revision = other32.from_revision;
-  wants_snapshot = other32.wants_snapshot;
-  __isset = other32.__isset;
+DeltaRequest::DeltaRequest(const DeltaRequest& other44) noexcept {
+  from_revision = other44.from_revision;
+  wants_snapshot = other44.wants_snapshot;
+  __isset = other44.__isset;
 }
-DeltaRequest& DeltaRequest::operator=(const DeltaRequest& other33) noexcept {
-  from_revision = other33.from_revision;
-  wants_snapshot = other33.wants_snapshot;
-  __isset = other33.__isset;
+DeltaRequest& DeltaRequest::operator=(const DeltaRequest& other45) noexcept {
+  from_revision = other45.from_revision;
+  wants_snapshot = other45.wants_snapshot;
+  __isset = other45.__isset;
   return *this;
 }
 void DeltaRequest::printTo(std::ostream& out) const {
@@ -793,14 +913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->records.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->records.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += iprot->readBinary(this->records[_i38]);
+              xfer += iprot->readBinary(this->records[_i50]);
             }
             xfer += iprot->readListEnd();
           }
@@ -813,17 +933,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->rows.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _ktype40;
-            ::apache::thrift::protocol::TType _vtype41;
-            xfer += iprot->readMapBegin(_ktype40, _vtype41, _size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _ktype52;
+            ::apache::thrift::protocol::TType _vtype53;
+            xfer += iprot->readMapBegin(_ktype52, _vtype53, _size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              std::string _key44;
-              xfer += iprot->readString(_key44);
-              std::string& _val45 = this->rows[_key44];
-              xfer += iprot->readBinary(_val45);
+              std::string _key56;
+              xfer += iprot->readString(_key56);
+              std::string& _val57 = this->rows[_key56];
+              xfer += iprot->readBinary(_val57);
             }
             xfer += iprot->readMapEnd();
           }
@@ -856,10 +976,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->records.size()));
-    std::vector<std::string> ::const_iterator _iter46;
-    for (_iter46 = this->records.begin(); _iter46 != this->records.end(); ++_iter46)
+    std::vector<std::string> ::const_iterator _iter58;
+    for (_iter58 = this->records.begin(); _iter58 != this->records.end(); ++_iter58)
     {
-      xfer += oprot->writeBinary((*_iter46));
+      xfer += oprot->writeBinary((*_iter58));
     }
     xfer += oprot->writeListEnd();
   }
@@ -868,11 +988,11 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
-    std::map<std::string, std::string> ::const_iterator _iter47;
-    for (_iter47 = this->rows.begin(); _iter47 != this->rows.end(); ++_iter47)
+    std::map<std::string, std::string> ::const_iterator _iter59;
+    for (_iter59 = this->rows.begin(); _iter59 != this->rows.end(); ++_iter59)
     {
-      xfer += oprot->writeString(_iter47->first);
-      xfer += oprot->writeBinary(_iter47->second);
+      xfer += oprot->writeString(_iter59->first);
+      xfer += oprot->writeBinary(_iter59->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -891,17 +1011,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DeltaReply::DeltaReply(const DeltaReply& other48) {
-  revision = other48.revision;
-  records = other48.records;
-  rows = other48.rows;
-  __isset = other48.__isset;
+DeltaReply::DeltaReply(const DeltaReply& other60) {
+  revision = other60.revision;
+  records = other60.records;
+  rows = other60.rows;
+  __isset = other60.__isset;
 }
-DeltaReply& DeltaReply::operator=(const DeltaReply& other49) {
-  revision = other49.revision;
-  records = other49.records;
-  rows = other49.rows;
-  __isset = other49.__isset;
+DeltaReply& DeltaReply::operator=(const DeltaReply& other61) {
+  revision = other61.revision;
+  records = other61.records;
+  rows = other61.rows;
+  __isset = other61.__isset;
   return *this;
 }
 void DeltaReply::printTo(std::ostream& out) const {
@@ -953,6 +1073,10 @@
 void ForwardRequest::__set_owner_incarnation(const int64_t val) {
   this->owner_incarnation = val;
 }
+
+void ForwardRequest::__set_respond_async(const bool val) {
+  this->respond_async = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -1053,6 +1177,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->respond_async);
+          this->__isset.respond_async = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1106,6 +1238,10 @@
   xfer += oprot->writeI64(this->owner_incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("respond_async", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->respond_async);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1122,32 +1258,35 @@
   swap(a.body, b.body);
   swap(a.content_type, b.content_type);
   swap(a.owner_incarnation, b.owner_incarnation);
+  swap(a.respond_async, b.respond_async);
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other50) {
-  request_id = other50.request_id;
-  key = other50.key;
-  service_name = other50.service_name;
-  request_class = other50.request_class;
-  repeatable = other50.repeatable;
-  remaining_ms = other50.remaining_ms;
-  body = other50.body;
-  content_type = other50.content_type;
-  owner_incarnation = other50.owner_incarnation;
-  __isset = other50.__isset;
-}
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other51) {
-  request_id = other51.request_id;
-  key = other51.key;
-  service_name = other51.service_name;
-  request_class = other51.request_class;
-  repeatable = other51.repeatable;
-  remaining_ms = other51.remaining_ms;
-  body = other51.body;
-  content_type = other51.content_type;
-  owner_incarnation = other51.owner_incarnation;
-  __isset = other51.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other62) {
+  request_id = other62.request_id;
+  key = other62.key;
+  service_name = other62.service_name;
+  request_class = other62.request_class;
+  repeatable = other62.repeatable;
+  remaining_ms = other62.remaining_ms;
+  body = other62.body;
+  content_type = other62.content_type;
+  owner_incarnation = other62.owner_incarnation;
+  respond_async = other62.respond_async;
+  __isset = other62.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other63) {
+  request_id = other63.request_id;
+  key = other63.key;
+  service_name = other63.service_name;
+  request_class = other63.request_class;
+  repeatable = other63.repeatable;
+  remaining_ms = other63.remaining_ms;
+  body = other63.body;
+  content_type = other63.content_type;
+  owner_incarnation = other63.owner_incarnation;
+  respond_async = other63.respond_async;
+  __isset = other63.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -1162,6 +1301,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "owner_incarnation=" << to_string(owner_incarnation);
+  out << ", " << "respond_async=" << to_string(respond_async);
   out << ")";
 }
 
@@ -1193,6 +1333,10 @@
 void ForwardReply::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void ForwardReply::__set_retry_after_ms(const int64_t val) {
+  this->retry_after_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardReply& obj)
 {
   obj.printTo(out);
@@ -1269,6 +1413,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1310,6 +1462,10 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1323,26 +1479,29 @@
   swap(a.content_type, b.content_type);
   swap(a.body, b.body);
   swap(a.reason, b.reason);
+  swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.__isset, b.__isset);
 }
 
-ForwardReply::ForwardReply(const ForwardReply& other52) {
-  request_id = other52.request_id;
-  outcome = other52.outcome;
-  status = other52.status;
-  content_type = other52.content_type;
-  body = other52.body;
-  reason = other52.reason;
-  __isset = other52.__isset;
-}
-ForwardReply& ForwardReply::operator=(const ForwardReply& other53) {
-  request_id = other53.request_id;
-  outcome = other53.outcome;
-  status = other53.status;
-  content_type = other53.content_type;
-  body = other53.body;
-  reason = other53.reason;
-  __isset = other53.__isset;
+ForwardReply::ForwardReply(const ForwardReply& other64) {
+  request_id = other64.request_id;
+  outcome = other64.outcome;
+  status = other64.status;
+  content_type = other64.content_type;
+  body = other64.body;
+  reason = other64.reason;
+  retry_after_ms = other64.retry_after_ms;
+  __isset = other64.__isset;
+}
+ForwardReply& ForwardReply::operator=(const ForwardReply& other65) {
+  request_id = other65.request_id;
+  outcome = other65.outcome;
+  status = other65.status;
+  content_type = other65.content_type;
+  body = other65.body;
+  reason = other65.reason;
+  retry_after_ms = other65.retry_after_ms;
+  __isset = other65.__isset;
   return *this;
 }
 void ForwardReply::printTo(std::ostream& out) const {
@@ -1354,6 +1513,7 @@
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "body=" << to_string(body);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ")";
 }
 
@@ -1450,15 +1610,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OutcomeRequest::OutcomeRequest(const OutcomeRequest& other54) {
-  key = other54.key;
-  cancel = other54.cancel;
-  __isset = other54.__isset;
+OutcomeRequest::OutcomeRequest(const OutcomeRequest& other66) {
+  key = other66.key;
+  cancel = other66.cancel;
+  __isset = other66.__isset;
 }
-OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other55) {
-  key = other55.key;
-  cancel = other55.cancel;
-  __isset = other55.__isset;
+OutcomeRequest& OutcomeRequest::operator=(const OutcomeRequest& other67) {
+  key = other67.key;
+  cancel = other67.cancel;
+  __isset = other67.__isset;
   return *this;
 }
 void OutcomeRequest::printTo(std::ostream& out) const {
@@ -1569,17 +1729,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->returned.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _ktype57;
-            ::apache::thrift::protocol::TType _vtype58;
-            xfer += iprot->readMapBegin(_ktype57, _vtype58, _size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _ktype69;
+            ::apache::thrift::protocol::TType _vtype70;
+            xfer += iprot->readMapBegin(_ktype69, _vtype70, _size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              std::string _key61;
-              xfer += iprot->readString(_key61);
-              int32_t& _val62 = this->returned[_key61];
-              xfer += iprot->readI32(_val62);
+              std::string _key73;
+              xfer += iprot->readString(_key73);
+              int32_t& _val74 = this->returned[_key73];
+              xfer += iprot->readI32(_val74);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1628,11 +1788,11 @@
   xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->returned.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter63;
-    for (_iter63 = this->returned.begin(); _iter63 != this->returned.end(); ++_iter63)
+    std::map<std::string, int32_t> ::const_iterator _iter75;
+    for (_iter75 = this->returned.begin(); _iter75 != this->returned.end(); ++_iter75)
     {
-      xfer += oprot->writeString(_iter63->first);
-      xfer += oprot->writeI32(_iter63->second);
+      xfer += oprot->writeString(_iter75->first);
+      xfer += oprot->writeI32(_iter75->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1654,23 +1814,23 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other64) {
-  requester = other64.requester;
-  incarnation = other64.incarnation;
-  membership_number = other64.membership_number;
-  service_name = other64.service_name;
-  wanted = other64.wanted;
-  returned = other64.returned;
-  __isset = other64.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other76) {
+  requester = other76.requester;
+  incarnation = other76.incarnation;
+  membership_number = other76.membership_number;
+  service_name = other76.service_name;
+  wanted = other76.wanted;
+  returned = other76.returned;
+  __isset = other76.__isset;
 }
-SlotRequest& SlotRequest::operator=(const SlotRequest& other65) {
-  requester = other65.requester;
-  incarnation = other65.incarnation;
-  membership_number = other65.membership_number;
-  service_name = other65.service_name;
-  wanted = other65.wanted;
-  returned = other65.returned;
-  __isset = other65.__isset;
+SlotRequest& SlotRequest::operator=(const SlotRequest& other77) {
+  requester = other77.requester;
+  incarnation = other77.incarnation;
+  membership_number = other77.membership_number;
+  service_name = other77.service_name;
+  wanted = other77.wanted;
+  returned = other77.returned;
+  __isset = other77.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -1737,17 +1897,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->granted.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _ktype67;
-            ::apache::thrift::protocol::TType _vtype68;
-            xfer += iprot->readMapBegin(_ktype67, _vtype68, _size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _ktype79;
+            ::apache::thrift::protocol::TType _vtype80;
+            xfer += iprot->readMapBegin(_ktype79, _vtype80, _size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              std::string _key71;
-              xfer += iprot->readString(_key71);
-              int32_t& _val72 = this->granted[_key71];
-              xfer += iprot->readI32(_val72);
+              std::string _key83;
+              xfer += iprot->readString(_key83);
+              int32_t& _val84 = this->granted[_key83];
+              xfer += iprot->readI32(_val84);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1780,11 +1940,11 @@
   xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->granted.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter73;
-    for (_iter73 = this->granted.begin(); _iter73 != this->granted.end(); ++_iter73)
+    std::map<std::string, int32_t> ::const_iterator _iter85;
+    for (_iter85 = this->granted.begin(); _iter85 != this->granted.end(); ++_iter85)
     {
-      xfer += oprot->writeString(_iter73->first);
-      xfer += oprot->writeI32(_iter73->second);
+      xfer += oprot->writeString(_iter85->first);
+      xfer += oprot->writeI32(_iter85->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1802,15 +1962,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReply::SlotReply(const SlotReply& other74) {
-  membership_number = other74.membership_number;
-  granted = other74.granted;
-  __isset = other74.__isset;
+SlotReply::SlotReply(const SlotReply& other86) {
+  membership_number = other86.membership_number;
+  granted = other86.granted;
+  __isset = other86.__isset;
 }
-SlotReply& SlotReply::operator=(const SlotReply& other75) {
-  membership_number = other75.membership_number;
-  granted = other75.granted;
-  __isset = other75.__isset;
+SlotReply& SlotReply::operator=(const SlotReply& other87) {
+  membership_number = other87.membership_number;
+  granted = other87.granted;
+  __isset = other87.__isset;
   return *this;
 }
 void SlotReply::printTo(std::ostream& out) const {
@@ -1897,13 +2057,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Error::Error(const Error& other76) {
-  reason = other76.reason;
-  __isset = other76.__isset;
+Error::Error(const Error& other88) {
+  reason = other88.reason;
+  __isset = other88.__isset;
 }
-Error& Error::operator=(const Error& other77) {
-  reason = other77.reason;
-  __isset = other77.__isset;
+Error& Error::operator=(const Error& other89) {
+  reason = other89.reason;
+  __isset = other89.__isset;
   return *this;
 }
 void Error::printTo(std::ostream& out) const {
@@ -2162,31 +2322,31 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other78) {
-  heartbeat = other78.heartbeat;
-  heartbeat_reply = other78.heartbeat_reply;
-  delta_request = other78.delta_request;
-  delta_reply = other78.delta_reply;
-  forward_request = other78.forward_request;
-  forward_reply = other78.forward_reply;
-  outcome_request = other78.outcome_request;
-  slot_request = other78.slot_request;
-  slot_reply = other78.slot_reply;
-  error = other78.error;
-  __isset = other78.__isset;
-}
-Message& Message::operator=(const Message& other79) {
-  heartbeat = other79.heartbeat;
-  heartbeat_reply = other79.heartbeat_reply;
-  delta_request = other79.delta_request;
-  delta_reply = other79.delta_reply;
-  forward_request = other79.forward_request;
-  forward_reply = other79.forward_reply;
-  outcome_request = other79.outcome_request;
-  slot_request = other79.slot_request;
-  slot_reply = other79.slot_reply;
-  error = other79.error;
-  __isset = other79.__isset;
+Message::Message(const Message& other90) {
+  heartbeat = other90.heartbeat;
+  heartbeat_reply = other90.heartbeat_reply;
+  delta_request = other90.delta_request;
+  delta_reply = other90.delta_reply;
+  forward_request = other90.forward_request;
+  forward_reply = other90.forward_reply;
+  outcome_request = other90.outcome_request;
+  slot_request = other90.slot_request;
+  slot_reply = other90.slot_reply;
+  error = other90.error;
+  __isset = other90.__isset;
+}
+Message& Message::operator=(const Message& other91) {
+  heartbeat = other91.heartbeat;
+  heartbeat_reply = other91.heartbeat_reply;
+  delta_request = other91.delta_request;
+  delta_reply = other91.delta_reply;
+  forward_request = other91.forward_request;
+  forward_reply = other91.forward_reply;
+  outcome_request = other91.outcome_request;
+  slot_request = other91.slot_request;
+  slot_reply = other91.slot_reply;
+  error = other91.error;
+  __isset = other91.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -44,7 +44,7 @@
 class Message;
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : version(true), sender(false), incarnation(false), revision(false), table_age_ms(false), sent_ms(false), busy_vms(false), is_entry(false), demand(false), stopping(false) {}
+  _Heartbeat__isset() : version(true), sender(false), incarnation(false), revision(false), table_age_ms(false), sent_ms(false), busy_vms(false), is_entry(false), demand(false), stopping(false), membership_number(false), overhang(false) {}
   bool version :1;
   bool sender :1;
   bool incarnation :1;
@@ -55,6 +55,8 @@
   bool is_entry :1;
   bool demand :1;
   bool stopping :1;
+  bool membership_number :1;
+  bool overhang :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -70,7 +72,8 @@
               table_age_ms(0),
               sent_ms(0),
               is_entry(0),
-              stopping(0) {
+              stopping(0),
+              membership_number(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -84,6 +87,8 @@
   bool is_entry;
   std::map<std::string, int32_t>  demand;
   bool stopping;
+  int64_t membership_number;
+  std::vector<std::string>  overhang;
 
   _Heartbeat__isset __isset;
 
@@ -107,6 +112,10 @@
 
   void __set_stopping(const bool val);
 
+  void __set_membership_number(const int64_t val);
+
+  void __set_overhang(const std::vector<std::string> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(version == rhs.version))
@@ -129,6 +138,10 @@
       return false;
     if (!(stopping == rhs.stopping))
       return false;
+    if (!(membership_number == rhs.membership_number))
+      return false;
+    if (!(overhang == rhs.overhang))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -148,7 +161,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : version(true), sender(false), incarnation(false), revision(false), table_age_ms(false), echo_sent_ms(false), busy_vms(false), demand(false), stopping(false) {}
+  _HeartbeatReply__isset() : version(true), sender(false), incarnation(false), revision(false), table_age_ms(false), echo_sent_ms(false), busy_vms(false), demand(false), stopping(false), membership_number(false), overhang(false) {}
   bool version :1;
   bool sender :1;
   bool incarnation :1;
@@ -158,6 +171,8 @@
   bool busy_vms :1;
   bool demand :1;
   bool stopping :1;
+  bool membership_number :1;
+  bool overhang :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -172,7 +187,8 @@
                    revision(0),
                    table_age_ms(0),
                    echo_sent_ms(0),
-                   stopping(0) {
+                   stopping(0),
+                   membership_number(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -185,6 +201,8 @@
   std::vector<std::string>  busy_vms;
   std::map<std::string, int32_t>  demand;
   bool stopping;
+  int64_t membership_number;
+  std::vector<std::string>  overhang;
 
   _HeartbeatReply__isset __isset;
 
@@ -206,6 +224,10 @@
 
   void __set_stopping(const bool val);
 
+  void __set_membership_number(const int64_t val);
+
+  void __set_overhang(const std::vector<std::string> & val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(version == rhs.version))
@@ -226,6 +248,10 @@
       return false;
     if (!(stopping == rhs.stopping))
       return false;
+    if (!(membership_number == rhs.membership_number))
+      return false;
+    if (!(overhang == rhs.overhang))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -350,7 +376,7 @@
 std::ostream& operator<<(std::ostream& out, const DeltaReply& obj);
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : request_id(false), key(false), service_name(false), request_class(false), repeatable(false), remaining_ms(false), body(false), content_type(false), owner_incarnation(false) {}
+  _ForwardRequest__isset() : request_id(false), key(false), service_name(false), request_class(false), repeatable(false), remaining_ms(false), body(false), content_type(false), owner_incarnation(false), respond_async(false) {}
   bool request_id :1;
   bool key :1;
   bool service_name :1;
@@ -360,6 +386,7 @@
   bool body :1;
   bool content_type :1;
   bool owner_incarnation :1;
+  bool respond_async :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -376,7 +403,8 @@
                    remaining_ms(0),
                    body(),
                    content_type(),
-                   owner_incarnation(0) {
+                   owner_incarnation(0),
+                   respond_async(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -389,6 +417,7 @@
   std::string body;
   std::string content_type;
   int64_t owner_incarnation;
+  bool respond_async;
 
   _ForwardRequest__isset __isset;
 
@@ -410,6 +439,8 @@
 
   void __set_owner_incarnation(const int64_t val);
 
+  void __set_respond_async(const bool val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -430,6 +461,8 @@
       return false;
     if (!(owner_incarnation == rhs.owner_incarnation))
       return false;
+    if (!(respond_async == rhs.respond_async))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -449,13 +482,14 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardReply__isset {
-  _ForwardReply__isset() : request_id(false), outcome(false), status(false), content_type(false), body(false), reason(false) {}
+  _ForwardReply__isset() : request_id(false), outcome(false), status(false), content_type(false), body(false), reason(false), retry_after_ms(false) {}
   bool request_id :1;
   bool outcome :1;
   bool status :1;
   bool content_type :1;
   bool body :1;
   bool reason :1;
+  bool retry_after_ms :1;
 } _ForwardReply__isset;
 
 class ForwardReply : public virtual ::apache::thrift::TBase {
@@ -469,7 +503,8 @@
                  status(0),
                  content_type(),
                  body(),
-                 reason() {
+                 reason(),
+                 retry_after_ms(0) {
   }
 
   virtual ~ForwardReply() noexcept;
@@ -479,6 +514,7 @@
   std::string content_type;
   std::string body;
   std::string reason;
+  int64_t retry_after_ms;
 
   _ForwardReply__isset __isset;
 
@@ -494,6 +530,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_retry_after_ms(const int64_t val);
+
   bool operator == (const ForwardReply & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -508,6 +546,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
     return true;
   }
   bool operator != (const ForwardReply &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -17,6 +17,8 @@
   8: bool is_entry,
   9: map<string, i32> demand,   // requests waiting per service at the sender
   10: bool stopping,
+  11: i64 membership_number,    // the one that the sender's slot tokens belong to
+  12: list<string> overhang,    // rows with more requests in progress than tokens
 }
 
 struct HeartbeatReply {
@@ -29,6 +31,8 @@
   7: list<string> busy_vms,
   8: map<string, i32> demand,
   9: bool stopping,
+  10: i64 membership_number,
+  11: list<string> overhang,
 }
 
 // Asks for the records after `from_revision`; `wants_snapshot` asks for the whole view.
@@ -54,6 +58,7 @@
   7: binary body,
   8: string content_type,
   9: i64 owner_incarnation,     // refused when it isn't the receiver's
+  10: bool respond_async,       // answered 202 once claimed; the outcome is stored
 }
 
 struct ForwardReply {
@@ -63,6 +68,7 @@
   4: string content_type,
   5: binary body,
   6: string reason,
+  7: i64 retry_after_ms,
 }
 
 // Asks the owner of a key what became of it, or cancels it.
