--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
+#include "peer/freshness.h"
 
 namespace hemlockward::entry {
 
