--- a/src/base/fleet.h
+++ b/src/base/fleet.h
@@ -44,6 +44,7 @@
   RackId rack;
   std::string address;   ///< `IP:port` of its worker.
   WallMillis changed{};  ///< When the row was last written, for accounts only.
+  std::string reason;    ///< Why it is in this state, for operators.
 };
 
 /// One class's share of a team's capacity.
@@ -133,6 +134,7 @@
 struct ChangeRecord {
   Revision revision = 0;
   std::vector<RowChange> rows;
+  std::string nonce{};  ///< Of the writer's transaction; settles a lost answer.
 };
 
 /// Everything a process knows of the fleet, at one revision.
