--- /dev/null
+++ b/tests/entry_fault_test.cc
@@ -0,0 +1,196 @@
+#include "entry_fixture.h"
+
+namespace hemlockward::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Longer than a view lease, so that what was known before doesn't serve.
+constexpr milliseconds kPastLease{1200};
+
+class EntryFaultTest : public EntryTest {
+ protected:
+  // Sends `n` requests to an entry and counts the answers by outcome.
+  std::map<std::string, int> Burst(int entry, int n) {
+    std::map<std::string, int> outcomes;
+    for (int i = 0; i < n; ++i) ++outcomes[OutcomeOf(Send(entry, Post("x")))];
+    return outcomes;
+  }
+  int RevisionOf(int entry) {
+    const auto answer = Get(entry, "/metrics");
+    const std::string name = "hemlockward_revision ";
+    const std::size_t at = answer->body.find("\n" + name);
+    if (at == std::string::npos) return 0;
+    return std::stoi(answer->body.substr(at + 1 + name.size()));
+  }
+};
+
+TEST_F(EntryFaultTest, TableOutageStopsNoServiceWhileAMajorityLives) {
+  Start(3, 2);
+  platform_down_ = true;
+  std::this_thread::sleep_for(kPastLease);
+  for (int entry = 0; entry < 3; ++entry) {
+    EXPECT_EQ(Burst(entry, 10)["done"], 10) << entry;
+    const std::string key = Mint(entry);
+    EXPECT_EQ(OutcomeOf(Send((entry + 1) % 3, KeyedPost(key, "x"))), "done");
+    EXPECT_EQ(TotalRuns(key), 1);
+  }
+  entries_[2]->Kill();
+  std::this_thread::sleep_for(kPastLease);
+  EXPECT_EQ(Burst(0, 10)["done"], 10);
+}
+
+TEST_F(EntryFaultTest, EntryWithoutTableAndMajorityStops) {
+  Start(3, 2);
+  platform_down_ = true;
+  entries_[1]->Kill();
+  entries_[2]->Kill();
+  std::this_thread::sleep_for(kPastLease);
+  EXPECT_EQ(Burst(0, 3)["not-run"], 3);
+  EXPECT_EQ(targets_[0]->total + targets_[1]->total, 0);
+  platform_down_ = false;
+  WaitReady(0);
+  EXPECT_EQ(Burst(0, 5)["done"], 5);
+}
+
+TEST_F(EntryFaultTest, EntryCutOffFromTheTableLearnsOfChangesFromPeers) {
+  Start(3, 2);
+  first_cut_ = true;
+  CommitVm(0, base::VmState::kLeaving);
+  WaitUntil([&] { return RevisionOf(0) == static_cast<int>(revision_); });
+  const int before = targets_[0]->total;
+  std::this_thread::sleep_for(kPastLease);
+  EXPECT_EQ(Burst(0, 20)["done"], 20);
+  EXPECT_EQ(targets_[0]->total, before);
+}
+
+TEST_F(EntryFaultTest, EntryStartedInAnOutageGetsItsViewFromPeers) {
+  Start(2, 1);
+  platform_down_ = true;
+  AddEntry();
+  WaitUntil([&] { return RevisionOf(2) == static_cast<int>(revision_); });
+  EXPECT_EQ(Burst(2, 2)["not-run"], 2);  // It isn't committed.
+  platform_down_ = false;
+  CommitMembership();
+  WaitReady(2);
+  EXPECT_EQ(Burst(2, 5)["done"], 5);
+}
+
+TEST_F(EntryFaultTest, PausedEntryThatWakesUsesNoOldView) {
+  Start(3, 2);
+  entries_[0]->Pause(2 * kPastLease);
+  std::this_thread::sleep_for(milliseconds(50));
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back([&] { Send(0, Post("sent to a paused entry")); });
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+  CommitVm(0, base::VmState::kLeaving);
+  std::this_thread::sleep_for(kPastLease);
+  const int before = targets_[0]->total;
+  callers.clear();
+  EXPECT_EQ(targets_[0]->total, before);
+  WaitReady(0);
+  EXPECT_EQ(Burst(0, 5)["done"], 5);
+  EXPECT_EQ(targets_[0]->total, before);
+}
+
+// What ran at an entry that died may not run again elsewhere.
+TEST_F(EntryFaultTest, KeysOfADeadOwnerAreUnknownAndNotRunAgain) {
+  Start(3, 2);
+  const std::string ran = Mint(1);
+  const std::string unused = Mint(1);
+  ASSERT_EQ(OutcomeOf(Send(0, KeyedPost(ran, "x"))), "done");
+  entries_[1]->Kill();
+  for (const std::string& key : {ran, unused}) {
+    HttpRequest request = KeyedPost(key, "x");
+    request.headers.push_back({"Hemlockward-Timeout-Ms", "300"});
+    EXPECT_EQ(OutcomeOf(Send(0, request)), "unknown");
+    EXPECT_EQ(OutcomeOf(Send(2, request)), "unknown");
+  }
+  EXPECT_EQ(TotalRuns(ran), 1);
+  EXPECT_EQ(TotalRuns(unused), 0);
+}
+
+TEST_F(EntryFaultTest, OwnerThatDiesInMidRunLeavesItUnknown) {
+  Start(3, 1);
+  targets_[0]->service_ms = 600;
+  const std::string key = Mint(1);
+  std::string told;
+  std::jthread caller([&] {
+    HttpRequest request = KeyedPost(key, "x");
+    request.headers.push_back({"Hemlockward-Timeout-Ms", "900"});
+    told = OutcomeOf(Send(0, request));
+  });
+  WaitUntil([&] { return targets_[0]->total == 1; });
+  entries_[1]->Kill();
+  caller.join();
+  EXPECT_EQ(told, "unknown");
+  EXPECT_EQ(TotalRuns(key), 1);
+}
+
+// A request that its caller no longer waits for keeps its slot while it runs.
+TEST_F(EntryFaultTest, TimedOutRequestsKeepTheirSlots) {
+  Start(2, 1);
+  targets_[0]->service_ms = 300;
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < 24; ++i) {
+    callers.emplace_back([&, i] {
+      HttpRequest request = Post("x", {{"Hemlockward-Timeout-Ms", "60"}});
+      for (int n = 0; n < 4; ++n) Send(i % 2, request);
+    });
+  }
+  callers.clear();
+  EXPECT_GT(targets_[0]->most_at_once, 0);
+  EXPECT_LE(targets_[0]->most_at_once, 8);
+}
+
+TEST_F(EntryFaultTest, QuotaHoldsOverAllEntries) {
+  Start(3, 2, 2);
+  targets_[0]->service_ms = 20;
+  targets_[1]->service_ms = 20;
+  std::atomic<int> done{0};
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.emplace_back([&, i] {
+      for (int n = 0; n < 3; ++n) {
+        if (OutcomeOf(Send(i % 3, Post("x"))) == "done") ++done;
+      }
+    });
+  }
+  callers.clear();
+  EXPECT_EQ(done, 36);
+  EXPECT_LE(targets_[0]->most_at_once + targets_[1]->most_at_once, 4);
+  EXPECT_LE(targets_[0]->most_at_once, 2);
+}
+
+// Slots are kept and given back through a change of the membership.
+TEST_F(EntryFaultTest, MembershipChangesUnderLoadNeverExceedSlots) {
+  Start(2, 2);
+  targets_[0]->service_ms = 15;
+  targets_[1]->service_ms = 15;
+  std::atomic<bool> stop{false};
+  std::atomic<int> done{0};
+  std::vector<std::jthread> callers;
+  for (int i = 0; i < 32; ++i) {
+    callers.emplace_back([&, i] {
+      while (!stop) {
+        if (OutcomeOf(Send(i % 2, Post("x"))) == "done") ++done;
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  AddEntry();
+  CommitMembership();
+  WaitReady(2);
+  WaitUntil([&] { return TotalHeld() == 16; });
+  entries_[2]->Kill();
+  std::this_thread::sleep_for(milliseconds(300));
+  stop = true;
+  callers.clear();
+  EXPECT_GT(done, 100);
+  for (const auto& it : targets_) EXPECT_LE(it->most_at_once, 8);
+}
+
+}  // namespace
+}  // namespace hemlockward::entry
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -136,6 +136,11 @@
   std::thread thread_;
 };
 
+inline std::string OutcomeOf(const HttpResult& answer) {
+  if (!answer) return "no answer: " + answer.error().what;
+  return std::string(answer->Header("Hemlockward-Outcome"));
+}
+
 class EntryTest : public testing::Test {
  protected:
   static constexpr base::Millis kLease{800};
@@ -145,6 +150,7 @@
         client_(pool_),
         platform_(pool_, standin::PlatformSettings{}, {}),
         platform_address_(FreeAddress()),
+        first_door_address_(FreeAddress()),
         table_(client_, {platform_address_, base::Seconds(2), 2}) {
     StartPlatform();
     thread_ = std::jthread([this] { pool_.Run(); });
@@ -154,12 +160,18 @@
     pool_.Stop();
   }
 
+  // Two doors to one platform; the second serves only the first entry.
   void StartPlatform() {
-    platform_server_ = std::make_unique<kernel::HttpServer>(
-        pool_, platform_address_, kernel::HttpLimits{},
-        [this](HttpRequest request) -> boost::asio::awaitable<HttpResponse> {
-          if (!platform_down_) return platform_.Handle(std::move(request));
-          return Unavailable();
+    platform_server_ = Door(platform_address_, platform_down_);
+    first_door_ = Door(first_door_address_, first_cut_);
+  }
+  std::unique_ptr<kernel::HttpServer> Door(const std::string& address,
+                                           const std::atomic<bool>& closed) {
+    return std::make_unique<kernel::HttpServer>(
+        pool_, address, kernel::HttpLimits{},
+        [this, &closed](HttpRequest request) {
+          const bool down = platform_down_ || closed;
+          return down ? Unavailable() : platform_.Handle(std::move(request));
         });
   }
   static boost::asio::awaitable<HttpResponse> Unavailable() {
@@ -231,7 +243,8 @@
     settings.zone = "zone-a";
     settings.listen = FreeAddress();
     settings.peer_listen = FreeAddress();
-    settings.platform = platform_address_;
+    settings.platform =
+        entries_.empty() ? first_door_address_ : platform_address_;
     for (const auto& it : entries_) {
       settings.peers.push_back(it->settings().peer_listen);
     }
@@ -262,11 +275,11 @@
     Commit({{"membership", base::Encode(membership)}});
   }
   /// Entries, targets that are members of the pool, and a committed membership.
-  void Start(int entries, int targets) {
+  void Start(int entries, int targets, int quota_normal = 0) {
     for (int i = 0; i < targets; ++i) {
       targets_.push_back(std::make_unique<FakeTarget>(pool_));
     }
-    CommitDocument();
+    CommitDocument(quota_normal);
     for (int i = 0; i < targets; ++i) CommitVm(i, base::VmState::kMember);
     for (int i = 0; i < entries; ++i) AddEntry();
     CommitMembership();
@@ -319,9 +332,12 @@
   kernel::HttpClient client_;
   standin::PlatformService platform_;
   std::string platform_address_;
+  std::string first_door_address_;
   platform::TableClient table_;
   std::atomic<bool> platform_down_{false};
+  std::atomic<bool> first_cut_{false};  ///< Entry 0 has no platform.
   std::unique_ptr<kernel::HttpServer> platform_server_;
+  std::unique_ptr<kernel::HttpServer> first_door_;
   std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::vector<std::unique_ptr<RunningEntry>> entries_;
   base::Random random_{20261204};
--- a/tests/entry_request_test.cc
+++ b/tests/entry_request_test.cc
@@ -3,11 +3,6 @@
 namespace hemlockward::entry {
 namespace {
 
-std::string OutcomeOf(const HttpResult& answer) {
-  if (!answer) return "no answer: " + answer.error().what;
-  return std::string(answer->Header("Hemlockward-Outcome"));
-}
-
 TEST_F(EntryTest, WholeAnswerOfATargetOfThePool) {
   Start(2, 2);
   for (int entry = 0; entry < 2; ++entry) {
