Fill every floor before any target; tell a failed rack or zone from a bad wave

Cause: at 22,000 VMs services were below their floor by us: givers counted VMs that were out as theirs to give. With a zone lost, the first pools took all spare VMs up to their target while others stayed below their floor, and the lost zone was put down to the wave. Conclusion: by us isn't 0 yet when a whole zone is lost in mid-wave.

--- a/src/control/budget.cc
+++ b/src/control/budget.cc
@@ -6,6 +6,7 @@
 #include <boost/json/value.hpp>
 #include <cmath>
 #include <exception>
+#include <unordered_map>
 #include <utility>
 
 namespace hemlockward::control {
@@ -72,7 +73,8 @@
 // Strict towards us: VMs that we took out are to blame unless failures alone
 // would have sufficed.
 BelowCause CauseOf(const PoolHealth& pool) {
-  const int without_us = pool.up + pool.out_by_us + pool.no_verdict;
+  const int without_us =
+      pool.up + pool.out_by_us + pool.no_verdict - pool.out_in_failed_places;
   if (without_us < pool.need.floor) return BelowCause::kFailure;
   if (pool.up + pool.no_verdict >= pool.need.floor) return BelowCause::kMonitor;
   return BelowCause::kUs;
@@ -98,6 +100,47 @@
   return start < end ? end - start : Millis{0};
 }
 
+// Time after which a VM's failure is no longer put down to its maintenance.
+constexpr Millis kUntouchedAfter = base::Hours(1);
+constexpr int kFailedInPlace = 2;
+
+// What the VMs of one rack or zone say of it.
+struct PlaceCount {
+  int up = 0;
+  int failed = 0;  ///< Without those touched lately.
+  [[nodiscard]] bool HasFailed() const {
+    return up == 0 && failed >= kFailedInPlace;
+  }
+};
+
+struct PlaceCounts {
+  std::unordered_map<std::string_view, PlaceCount> racks;
+  std::unordered_map<std::string_view, PlaceCount> zones;
+};
+
+void CountPlace(PlaceCounts& places, const VmStatus& vm, WallMillis now) {
+  PlaceCount& rack = places.racks[vm.row->rack.value];
+  PlaceCount& zone = places.zones[vm.row->zone.value];
+  const bool touched =
+      !vm.row->wave.empty() && now - vm.row->changed < kUntouchedAfter;
+  const int up = vm.health == VmHealth::kUp ? 1 : 0;
+  const int failed = vm.health == VmHealth::kFailed && !touched ? 1 : 0;
+  rack.up += up;
+  zone.up += up;
+  rack.failed += failed;
+  zone.failed += failed;
+}
+
+void MarkFailedPlaces(PoolHealth& pool, const PlaceCounts& places) {
+  for (VmStatus& it : pool.vms) {
+    if (it.health == VmHealth::kUp) continue;
+    it.place_failed = places.racks.at(it.row->rack.value).HasFailed() ||
+                      places.zones.at(it.row->zone.value).HasFailed();
+    const bool out = it.health == VmHealth::kOutByUs;
+    if (it.place_failed && out) ++pool.out_in_failed_places;
+  }
+}
+
 }  // namespace
 
 void RecordVerdict(Verdicts& verdicts, const base::VmId& vm, bool up,
@@ -143,6 +186,7 @@
   for (const auto& [team, document] : view.documents) {
     AddDocument(pools[document.pool].need, document);
   }
+  PlaceCounts places;
   // Both maps are ordered by VM id: one pass over each.
   auto verdict_it = verdicts.begin();
   for (const auto& [id, row] : view.vms) {
@@ -153,6 +197,7 @@
     PoolHealth& pool = pools[row.pool];
     pool.vms.push_back({&row, health, Since(row, verdict, health)});
     if (row.state != VmState::kLost) Count(pool, health);
+    CountPlace(places, pool.vms.back(), now);
     const bool moving = row.purpose == base::VmPurpose::kMove &&
                         row.state != VmState::kMember &&
                         row.state != VmState::kLost;
@@ -163,6 +208,7 @@
   list.reserve(pools.size());
   for (auto& [id, pool] : pools) {
     pool.pool = id;
+    MarkFailedPlaces(pool, places);
     list.push_back(std::move(pool));
   }
   return list;
--- a/src/control/budget.h
+++ b/src/control/budget.h
@@ -72,6 +72,9 @@
   const base::VmRow* row = nullptr;  ///< Points into the view.
   VmHealth health = VmHealth::kNoVerdict;
   base::WallMillis since{};  ///< Since when it is so, as far as known.
+  /// Its rack or zone has failed by the word of the other VMs there: two or
+  /// more that no wave touched lately are down and none is up.
+  bool place_failed = false;
 };
 
 /// One pool at one moment. VMs on their way out by a move count for the pool
@@ -85,6 +88,7 @@
   int failed = 0;
   int no_verdict = 0;
   int arriving = 0;
+  int out_in_failed_places = 0;  ///< Part of out_by_us that would be down too.
 };
 
 /// All pools, ordered by pool id. Linear in the number of VMs. The result
--- a/src/control/planner.cc
+++ b/src/control/planner.cc
@@ -35,9 +35,9 @@
   int usable = 0;  ///< Up, or soon to be.
   int wanted = 0;  ///< Size to reach.
   int deficit = 0;
+  int below_floor = 0;  ///< Part of the deficit that breaks the floor.
   int surplus = 0;
-  bool urgent = false;  ///< The floor is broken or would be by one rack.
-  std::string reason;   ///< Of the deficit.
+  std::string reason;  ///< Of the deficit.
   std::vector<Candidate> candidates;
 };
 
@@ -90,6 +90,7 @@
   int WaveWidthWanted(const PoolHealth& pool) const;
   void AddCandidates(Balance& balance);
   bool GiveOne(Balance& giver, Balance& taker);
+  void Fill(Balance& taker, int left, const std::vector<Balance*>& givers);
   Candidate* BestCandidate(Balance& giver, const Balance& taker);
   void CountPlaces(const PoolHealth& pool);
   void Move(Balance& giver, Balance& taker, Candidate& candidate,
@@ -142,10 +143,16 @@
     const int width = WaveWidthWanted(pool);
     const int safe = pool.need.floor + reserve.worst_rack + width;
     if (width > 0) balance.wanted = std::max(balance.wanted, safe);
-    balance.urgent = balance.usable < pool.need.floor + 1;
   }
   balance.deficit = std::max(0, balance.wanted - balance.usable);
-  balance.surplus = std::max(0, balance.usable - balance.wanted);
+  // VMs that are out or may come back can't hold up the floor now.
+  const int standing = pool.up + pool.no_verdict + pool.arriving;
+  balance.below_floor =
+      std::clamp(pool.need.floor - standing, 0, balance.deficit);
+  // What is given away must not stand between the floor and a lost rack.
+  const int free = pool.up - pool.need.floor - reserve.worst_rack;
+  balance.surplus =
+      std::max(0, std::min(balance.usable - balance.wanted, free));
   balance.reason = "has " + std::to_string(balance.usable) + " of " +
                    std::to_string(balance.wanted);
   if (balance.surplus > 0 && pool.need.movable) AddCandidates(balance);
@@ -185,7 +192,7 @@
   Candidate* best = nullptr;
   std::pair<int, int> best_cost;
   for (Candidate& it : giver.candidates) {
-    if (it.taken || !(it.settled || taker.urgent)) continue;
+    if (it.taken || !(it.settled || taker.below_floor > 0)) continue;
     const std::pair<int, int> cost{rack_counts_[it.rack],
                                    zone_counts_[it.zone]};
     if (best != nullptr && cost >= best_cost) continue;
@@ -214,6 +221,7 @@
   Candidate* candidate = BestCandidate(giver, taker);
   if (candidate == nullptr) return false;
   --taker.deficit;
+  taker.below_floor = std::max(0, taker.below_floor - 1);
   Move(giver, taker, *candidate,
        "pool " + taker.pool->pool.value + " " + taker.reason + "; pool " +
            giver.pool->pool.value + " can spare it");
@@ -227,8 +235,21 @@
   return nullptr;
 }
 
-// Serves the pools nearest to their floor first; the spare pool gives first,
-// then the pools with most to spare.
+// Gives VMs to one pool until `left` of its deficit remains.
+void Planning::Fill(Balance& taker, int left,
+                    const std::vector<Balance*>& givers) {
+  if (taker.deficit <= left) return;
+  CountPlaces(*taker.pool);
+  for (Balance* giver : givers) {
+    while (taker.deficit > left &&
+           static_cast<int>(decisions_.size()) < settings_.max_moves) {
+      if (!GiveOne(*giver, taker)) break;
+    }
+  }
+}
+
+// All floors come before any target. The spare pool gives first, then the
+// pools with most to spare.
 void Planning::FillDeficits() {
   std::vector<Balance*> takers;
   std::vector<Balance*> givers;
@@ -238,7 +259,6 @@
   }
   std::stable_sort(takers.begin(), takers.end(),
                    [](const Balance* a, const Balance* b) {
-                     if (a->urgent != b->urgent) return a->urgent;
                      return a->deficit > b->deficit;
                    });
   const base::PoolId& spare = settings_.reserve.spare_pool;
@@ -249,15 +269,8 @@
                      if (a_spare != b_spare) return a_spare;
                      return a->surplus > b->surplus;
                    });
-  for (Balance* taker : takers) {
-    CountPlaces(*taker->pool);
-    for (Balance* giver : givers) {
-      while (taker->deficit > 0 &&
-             static_cast<int>(decisions_.size()) < settings_.max_moves) {
-        if (!GiveOne(*giver, *taker)) break;
-      }
-    }
-  }
+  for (Balance* it : takers) Fill(*it, it->deficit - it->below_floor, givers);
+  for (Balance* it : takers) Fill(*it, 0, givers);
 }
 
 // Lets surplus VMs go back to the spare pool, where all pools share them.
--- a/src/control/wave.cc
+++ b/src/control/wave.cc
@@ -231,7 +231,9 @@
   if (vm.row->state == VmState::kMember) {
     const bool fell = vm.health == VmHealth::kFailed &&
                       vm.since - vm.row->changed < settings_.failure_watch;
-    if (fell) {
+    // A rack or zone that failed as a whole says nothing against the
+    // maintenance.
+    if (fell && !vm.place_failed) {
       ++progress.failed;
       return;
     }
