--- a/bench/load_plan.h
+++ b/bench/load_plan.h
@@ -23,7 +23,8 @@
   std::vector<std::string> entries;   ///< `IP:port` of each entry.
   std::vector<std::string> services;  ///< Each asks in turn.
   std::vector<std::string> targets;   ///< One `IP:port` per target process.
-  double rate = 100;                  ///< Mean requests a second, all services.
+  bool direct = false;  ///< `entries` are targets, called without an entry.
+  double rate = 100;    ///< Mean requests a second, all services.
   base::Millis duration = base::Seconds(10);
   base::Millis burst{0};  ///< Length of a burst; 0: a steady rate.
   base::Millis timeout = base::Seconds(10);   ///< Deadline given to the entry.
