--- a/src/entry/claims.cc
+++ b/src/entry/claims.cc
@@ -90,7 +90,6 @@
   const auto it = records_.find(key.text);
   if (it == records_.end()) {
     if (key.stamped <= watermark_) return {CancelState::kForgotten, false, {}};
-    if (now - key.stamped > policy_.key_lifetime) return {};
     if (records_.size() >= limits_.max_claims) {
       return {CancelState::kFull, false, {}};
     }
--- a/src/entry/router.cc
+++ b/src/entry/router.cc
@@ -14,6 +14,8 @@
 constexpr double kZoneMarginMs = 1.0;
 /// Weight of the newest sample in means of answers and round trips.
 constexpr double kMeanWeight = 0.05;
+/// Picks of a pool of which one is spent on learning another zone's speed.
+constexpr std::uint64_t kSampleEvery = 100;
 /// Bounds of what one answer says of a worker's slowness.
 constexpr double kLeastSlowness = 0.25;
 constexpr double kMostSlowness = 8;
@@ -34,6 +36,8 @@
       return "only free slot";
     case RouteReason::kTrial:
       return "trial of an ejected worker";
+    case RouteReason::kSample:
+      return "sample of another zone";
   }
   return "unknown";
 }
@@ -62,7 +66,7 @@
     const auto next = static_cast<std::uint32_t>(pools_.size());
     const auto [it, added] = pool_index_.try_emplace(document.service, next);
     if (added) {
-      pools_.push_back({document.service, {}, {}, PoolHealth(ejection_), 0});
+      pools_.push_back({document.service, {}, {}, PoolHealth(ejection_), 0, 0});
     }
     by_pool[document.pool] = {it->second, document.slots_per_vm};
   }
@@ -84,7 +88,6 @@
   }
 }
 
-// The best of the own zone, unless another zone is faster by the margin.
 tl::expected<Route, NoRoute> Router::Pick(const base::ServiceId& service,
                                           std::span<const SlotIndex> avoid,
                                           Millis now, base::Random& random) {
@@ -92,31 +95,23 @@
   if (pool == nullptr) return tl::unexpected(NoRoute::kUnknownService);
   if (pool->rows.empty()) return tl::unexpected(NoRoute::kNoWorkers);
   Refresh();
+  ++pool->picks;
+  Candidate chosen = TakeTrial(*pool, now);
+  RouteReason reason = RouteReason::kTrial;
+  if (chosen.row == kNoSlot) {
+    chosen = TakeSample(*pool, avoid, random);
+    reason = RouteReason::kSample;
+  }
   Route route;
-  Candidate best = TakeTrial(*pool, now);
-  route.reason = RouteReason::kTrial;
-  if (best.row == kNoSlot) {
-    for (const Group& group : pool->groups) {
-      if (group.available.empty()) continue;
-      const Candidate candidate = BestOfTwo(*pool, group, avoid, random);
-      const bool near = group.zone == 0;
-      const bool better =
-          best.row == kNoSlot || (best.avoided && !candidate.avoided) ||
-          (best.avoided == candidate.avoided &&
-           candidate.expected_ms + kZoneMarginMs < best.expected_ms);
-      if (!better) continue;
-      route.reason = near                  ? RouteReason::kNear
-                     : best.row == kNoSlot ? RouteReason::kOnlyFree
-                                           : RouteReason::kFaster;
-      best = candidate;
-    }
+  if (chosen.row == kNoSlot) {
+    route = BestOfZones(*pool, avoid, random);
+  } else {
+    route = {chosen.row, nullptr, reason, chosen.expected_ms};
   }
-  if (best.row == kNoSlot) return tl::unexpected(NoRoute::kNoFreeSlot);
-  slots_.Acquire(best.row);
-  RefreshRow(best.row);
-  route.row = best.row;
-  route.worker = &places_[best.row].worker;
-  route.expected_ms = best.expected_ms;
+  if (route.row == kNoSlot) return tl::unexpected(NoRoute::kNoFreeSlot);
+  slots_.Acquire(route.row);
+  RefreshRow(route.row);
+  route.worker = &places_[route.row].worker;
   return route;
 }
 
@@ -136,7 +131,8 @@
     pool.mean_ms += kMeanWeight * (elapsed_ms - pool.mean_ms);
     const double ratio = std::clamp(elapsed_ms / std::max(pool.mean_ms, 0.01),
                                     kLeastSlowness, kMostSlowness);
-    place.worker.slowness += kMeanWeight * (ratio - place.worker.slowness);
+    const double weight = std::max(kMeanWeight, 1.0 / ++place.answers);
+    place.worker.slowness += weight * (ratio - place.worker.slowness);
   }
   const HealthChange change = pool.health.OnResult(row, ok, now);
   RefreshRow(row);
@@ -217,6 +213,7 @@
   place.worker.vm = vm.vm;
   place.worker.zone = vm.zone;
   place.worker.slowness = 1;
+  place.answers = 0;
   place.pool = pool;
   // The own zone's group exists before all others and so comes first.
   if (pools_[pool].groups.empty()) GroupIndex(pools_[pool], 0);
@@ -315,6 +312,41 @@
   return best;
 }
 
+// The best of the own zone, unless another zone is faster by the margin.
+Route Router::BestOfZones(const Pool& pool, std::span<const SlotIndex> avoid,
+                          base::Random& random) {
+  Route route;
+  Candidate best;
+  for (const Group& group : pool.groups) {
+    if (group.available.empty()) continue;
+    const Candidate candidate = BestOfTwo(pool, group, avoid, random);
+    const bool better =
+        best.row == kNoSlot || (best.avoided && !candidate.avoided) ||
+        (best.avoided == candidate.avoided &&
+         candidate.expected_ms + kZoneMarginMs < best.expected_ms);
+    if (!better) continue;
+    route.reason = RouteReason::kFaster;
+    if (best.row == kNoSlot) route.reason = RouteReason::kOnlyFree;
+    if (group.zone == 0) route.reason = RouteReason::kNear;
+    best = candidate;
+  }
+  route.row = best.row;
+  route.expected_ms = best.expected_ms;
+  return route;
+}
+
+// Without samples a zone that isn't used could never prove to be faster.
+Router::Candidate Router::TakeSample(Pool& pool,
+                                     std::span<const SlotIndex> avoid,
+                                     base::Random& random) {
+  const std::size_t others = pool.groups.size() - 1;
+  if (others == 0 || pool.picks % kSampleEvery != 0) return {};
+  const std::uint64_t turn = pool.picks / kSampleEvery;
+  const Group& group = pool.groups[1 + turn % others];
+  if (group.available.empty()) return {};
+  return BestOfTwo(pool, group, avoid, random);
+}
+
 Router::Candidate Router::TakeTrial(Pool& pool, Millis now) {
   const SlotIndex row = pool.health.StartTrial(now);
   if (row == kNoSlot) return {};
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -33,6 +33,7 @@
   kFaster,    ///< Another zone is expected to answer earlier.
   kOnlyFree,  ///< The own zone has no free slot.
   kTrial,     ///< An ejected worker gets its single trial.
+  kSample,    ///< One pick in many goes to another zone to learn its speed.
 };
 std::string_view ToText(RouteReason value);
 
@@ -103,6 +104,7 @@
     std::uint32_t pool = kNowhere;  ///< In `pools_`; kNowhere: not a member.
     std::uint32_t group = 0;        ///< In the pool's groups.
     std::uint32_t position = kNowhere;  ///< In the group's `available`.
+    int answers = 0;                    ///< That `slowness` was learned from.
   };
 
   /// The workers of one pool in one zone.
@@ -117,6 +119,7 @@
     std::vector<Group> groups;  ///< Own zone first if it has workers.
     PoolHealth health;
     double mean_ms = 0;  ///< Of an answer; 0 when none was seen.
+    std::uint64_t picks = 0;
   };
 
   struct Zone {
@@ -142,6 +145,10 @@
   Candidate BestOfTwo(const Pool& pool, const Group& group,
                       std::span<const SlotIndex> avoid, base::Random& random);
   Candidate TakeTrial(Pool& pool, base::Millis now);
+  Candidate TakeSample(Pool& pool, std::span<const SlotIndex> avoid,
+                       base::Random& random);
+  Route BestOfZones(const Pool& pool, std::span<const SlotIndex> avoid,
+                    base::Random& random);
 
   base::ZoneId own_zone_;
   SlotLedger& slots_;
--- a/src/entry/slots.cc
+++ b/src/entry/slots.cc
@@ -81,6 +81,10 @@
   }
   membership_ = membership;
   number_ = membership.number;
+  EntryRow self;
+  self.entry = self_;
+  self.incarnation = incarnation_;
+  member_ = Contains(membership_.entries, self);
   all_reported_ = false;
   open_loans_.clear();
   owed_rows_.clear();
@@ -180,7 +184,7 @@
 int SlotLedger::AcceptLoan(LoanTicket ticket, std::uint64_t number,
                            std::span<const SlotGrant> granted) {
   if (open_loans_.erase(ticket.id) == 0) return 0;
-  if (number != number_) return 0;
+  if (number != number_ || !member_) return 0;
   int taken = 0;
   for (const SlotGrant& grant : granted) {
     const SlotIndex row = Find(grant.vm);
--- a/src/entry/slots.h
+++ b/src/entry/slots.h
@@ -90,7 +90,8 @@
   /// Starts a loan from a peer. Any reply but one to this ticket is ignored.
   LoanTicket BeginLoan();
   /// Adds granted tokens; returns how many. 0 when the ticket was used before
-  /// or ended, or when the reply is of another membership number.
+  /// or ended, when the reply is of another membership number, or when this
+  /// entry isn't a member: nobody waits for the report of one that isn't.
   int AcceptLoan(LoanTicket ticket, std::uint64_t number,
                  std::span<const SlotGrant> granted);
   /// The reply won't come or won't be waited for.
@@ -159,6 +160,7 @@
   std::uint64_t number_ = 0;
   base::Millis hold_until_{};
   base::Millis settled_at_{};
+  bool member_ = false;        ///< This incarnation is in `membership_`.
   bool all_reported_ = false;  ///< At `number_`, and the hold is over.
   std::vector<Row> rows_;
   std::unordered_map<base::VmId, SlotIndex> index_;
