--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -33,7 +33,7 @@
 }
 
 PoolPlan MakeSparePool(std::string name, base::Weights weights) {
-  PoolPlan plan = MakePool(std::move(name), 16, 0.5, weights);
+  PoolPlan plan = MakePool(std::move(name), 10, 0.5, weights);
   plan.min_size = 6;
   plan.max_size = 16;
   return plan;
@@ -76,16 +76,16 @@
   it.length = base::Hours(24);
   it.until_finished = true;
   const int pools = std::max(2, kLetterPools * vms / 22'000);
-  // A sixth of the VMs would be the reserve of a fixed fifth.
-  const int size = vms * 5 / (pools * 6);
+  const int spare = vms / 40;
+  const int size = (vms - spare) / pools;
   for (int i = 0; i < pools; ++i) {
     char buf[8];
     std::snprintf(buf, sizeof buf, "p%02d", i);
     PoolPlan plan = MakePool(buf, size, 0.8, kPasitosWeights);
     const bool is_spare = i == 0;
     plan.teams = is_spare ? 1 : kLetterTeams / kLetterPools + (i <= 75 ? 1 : 0);
-    plan.min_size = is_spare ? size / 4 : size / plan.teams * plan.teams;
-    plan.vms = is_spare ? vms - (pools - 1) * size : size;
+    plan.min_size = is_spare ? size : size / plan.teams * plan.teams;
+    plan.vms = is_spare ? vms - (pools - 1) * size : plan.min_size;
     plan.max_size = plan.vms + plan.vms / 4;
     plan.from_minute = 0;
     plan.to_minute = 6 * 60;
--- a/bench/fleet_world.cc
+++ b/bench/fleet_world.cc
@@ -24,6 +24,7 @@
 constexpr Millis kMonitorLag = base::Seconds(20);
 constexpr Millis kSilence = base::Minutes(10);
 constexpr Millis kOutage = base::Minutes(10);
+constexpr Millis kRackLoss = base::Hours(2);
 constexpr Millis kZoneLoss = base::Hours(1);
 const base::WaveId kWave("w1");
 
@@ -86,7 +87,7 @@
   LearnDemand();
 }
 
-// Every policy has the same VMs; fixed reserve keeps its share in the pools.
+// Fixed reserve keeps its share in the pools, the others in the spare pool.
 int World::PhysicalSize(const PoolPlan& plan) const {
   if (policy_ != Policy::kFixedReserve) return plan.vms;
   return static_cast<int>(
@@ -95,16 +96,7 @@
 
 void World::Build() {
   std::vector<PoolPlan> plans = case_.pools;
-  int total = 0;
-  int used = 0;
-  PoolPlan* spare = nullptr;
-  for (PoolPlan& it : plans) {
-    total += it.vms;
-    it.vms = PhysicalSize(it);
-    if (it.name == case_.spare_pool) spare = &it;
-    used += it.vms;
-  }
-  if (spare != nullptr) spare->vms += total - used;
+  for (PoolPlan& it : plans) it.vms = PhysicalSize(it);
   view_ = MakeFleet(plans, case_.zones);
   base::WaveRow wave;
   wave.wave = kWave;
@@ -147,7 +139,7 @@
 
 void World::BreakThings() {
   const Faults& faults = case_.faults;
-  const bool rack_lost = Within(faults.rack_lost_minute, case_.length);
+  const bool rack_lost = Within(faults.rack_lost_minute, kRackLoss);
   const bool zone_lost = Within(faults.zone_lost_minute, kZoneLoss);
   for (const auto& [vm, row] : view_.vms) {
     const bool in_rack = rack_lost && row.rack.value == "r1";
@@ -338,25 +330,13 @@
   }
 }
 
-// Reserve: VMs in the pools above their least size, and those of the spare
-// pool that the plan holds back.
+// Reserve: all VMs above the least size of their pool, wherever they wait.
 void World::Measure() {
   const auto pools = control::JudgeFleet(view_, verdicts_, {}, now_);
   control::ObserveAll(accounts_, pools, now_);
-  const control::ReservePlan plan =
-      control::PlanReserve(pools, demand_, planner_.reserve, now_);
   int buffer = 0;
   for (const control::PoolHealth& pool : pools) {
-    const int extra = std::max(0, pool.up - pool.need.min_size);
-    const bool is_spare = pool.pool.value == case_.spare_pool;
-    if (!is_spare) {
-      buffer += extra;
-    } else if (policy_ == Policy::kFixedReserve) {
-      buffer += std::min(extra, static_cast<int>(std::ceil(pool.need.min_size *
-                                                           case_.fixed_share)));
-    } else {
-      buffer += std::min(extra, plan.hold);
-    }
+    buffer += std::max(0, pool.up - pool.need.min_size);
   }
   const double hours = static_cast<double>(case_.step.count) /
                        static_cast<double>(base::Hours(1).count);
--- a/bench/fleet_world.h
+++ b/bench/fleet_world.h
@@ -22,7 +22,7 @@
 
 /// What goes wrong in a case. Times count from its start; 0 minutes: never.
 struct Faults {
-  int rack_lost_minute = 0;
+  int rack_lost_minute = 0;  ///< Back after two hours.
   int zone_lost_minute = 0;  ///< Back after an hour.
   int silent_minute = 0;     ///< The monitor says nothing for 10 minutes.
   int outage_minute = 0;     ///< The table is down for 10 minutes.
--- a/src/control/reserve.cc
+++ b/src/control/reserve.cc
@@ -13,6 +13,8 @@
 
 // Share of an hour's learned peak that a day without it leaves.
 constexpr double kDailyDecay = 0.9;
+// Share of all VMs that fails on an ordinary day.
+constexpr double kDailyFailureShare = 0.008;
 constexpr std::int64_t kHourMillis = base::Hours(1).count;
 constexpr std::int64_t kDayMillis = base::Hours(24).count;
 constexpr int kHoursOfDay = 24;
@@ -76,18 +78,20 @@
   return most;
 }
 
-// The highest need of one hour of the day over all pools, above their targets.
+// The highest need of one hour within the horizon over all pools together,
+// above their targets. Pools whose peaks don't come together share it.
 int SharedPeak(const std::vector<PoolHealth>& pools, const Demand& demand,
-               const std::vector<PoolReserve>& reserves) {
+               Millis horizon, WallMillis now) {
   double most = 0;
-  for (int hour = 0; hour < kHoursOfDay; ++hour) {
+  const std::int64_t last = (now.count + horizon.count) / kHourMillis;
+  for (std::int64_t hour = now.count / kHourMillis; hour <= last; ++hour) {
     double sum = 0;
     for (std::size_t i = 0; i < pools.size(); ++i) {
       const auto it = demand.find(pools[i].pool);
       if (it == demand.end()) continue;
-      const double peak = std::min<double>(it->second.peak_by_hour[hour],
-                                           pools[i].need.max_size);
-      sum += std::max(0.0, peak - reserves[i].target);
+      const double peak = std::min<double>(
+          it->second.peak_by_hour[hour % kHoursOfDay], pools[i].need.max_size);
+      sum += std::max(0.0, peak - pools[i].up);
     }
     most = std::max(most, sum);
   }
@@ -103,6 +107,7 @@
   RackLosses by_rack;
   RackLosses lack_by_rack;
   std::string worst_rack = "none";
+  int vms = 0;
   for (const PoolHealth& pool : pools) {
     PoolReserve reserve;
     reserve.pool = pool.pool;
@@ -111,8 +116,8 @@
     reserve.lack = std::max(0, pool.need.floor + reserve.worst_rack - pool.up);
     plan.pools.push_back(reserve);
     if (pool.need.services == 0) continue;
-    // After the loss one more VM may fail before the floor is reached.
-    const int slack = pool.up - pool.need.floor - 1;
+    const int slack = pool.up - pool.need.floor - reserve.worst_rack;
+    vms += static_cast<int>(pool.vms.size());
     for (const auto& [rack, lost] : by_rack) {
       if (lost > slack) lack_by_rack[rack] += lost - std::max(0, slack);
     }
@@ -124,10 +129,12 @@
     plan.for_rack = lack;
     worst_rack = rack;
   }
-  plan.for_demand = SharedPeak(pools, demand, plan.pools);
-  plan.hold = plan.for_rack + plan.for_demand;
+  plan.for_demand = SharedPeak(pools, demand, settings.horizon, now);
+  plan.for_failures = CeilToInt(kDailyFailureShare * vms);
+  plan.hold = plan.for_rack + plan.for_failures + plan.for_demand;
   plan.reason = "rack " + worst_rack + " lost takes " +
-                std::to_string(plan.for_rack) + " VMs too many; peaks take " +
+                std::to_string(plan.for_rack) + " VMs too many; a day's " +
+                std::to_string(plan.for_failures) + " failures; peaks take " +
                 std::to_string(plan.for_demand);
   return plan;
 }
--- a/src/control/reserve.h
+++ b/src/control/reserve.h
@@ -47,10 +47,12 @@
 /// Spare to hold for all pools together.
 struct ReservePlan {
   std::vector<PoolReserve> pools;  ///< Ordered by pool id.
-  int for_rack = 0;    ///< To make good the loss of the worst single rack.
-  int for_demand = 0;  ///< For peaks above the present sizes, shared.
-  int hold = 0;        ///< VMs to hold in reserve altogether.
-  std::string reason;  ///< What the amount comes from.
+  int for_rack = 0;      ///< So that after the worst rack's loss all pools
+                         ///< would survive the loss of another.
+  int for_failures = 0;  ///< For the VMs that fail on an ordinary day.
+  int for_demand = 0;    ///< For peaks within the horizon, shared.
+  int hold = 0;          ///< VMs to hold in reserve altogether.
+  std::string reason;    ///< What the amount comes from.
 };
 
 /// Linear in the number of VMs.
