Waves: shorter canary, faster growth, and survive a zone where the pool is large enough

Cause: the canary's 3 min and a growth of 4 made up a third of a small wave; with wider waves a zone lost at 22,000 VMs took services below their floor by us.

--- a/src/control/wave.cc
+++ b/src/control/wave.cc
@@ -62,6 +62,8 @@
   void SetMargin(const PoolHealth& pool, const Accounts& accounts,
                  const WaveSettings& settings, WallMillis now);
   [[nodiscard]] int WorstRackWithout(int rack) const;
+  [[nodiscard]] int WorstZoneWithout(std::string_view zone) const;
+  bool KeepsFloor(const base::VmRow& row, int up_after);
 
   int up_;
   int floor_;
@@ -70,6 +72,7 @@
   int spread_racks_;
   int spread_zones_;
   bool in_hours_;
+  bool survives_zone_ = false;  ///< At full strength, with one VM out.
   std::string limit_;
   std::unordered_map<std::string_view, int> racks_;
   std::unordered_map<std::string_view, int> up_by_zone_;
@@ -97,7 +100,16 @@
 }
 
 void PoolRoom::CountPlaces(const PoolHealth& pool) {
+  std::unordered_map<std::string_view, int> standing_by_zone;
+  int standing = 0;
+  int worst_zone = 0;
   for (const VmStatus& it : pool.vms) {
+    const bool stands =
+        it.health == VmHealth::kUp || it.health == VmHealth::kOutByUs;
+    if (stands) {
+      ++standing;
+      worst_zone = std::max(worst_zone, ++standing_by_zone[it.row->zone.value]);
+    }
     const auto [rack, added] = racks_.try_emplace(
         it.row->rack.value, static_cast<int>(up_by_rack_.size()));
     if (added) up_by_rack_.push_back(0);
@@ -108,6 +120,7 @@
   const auto most = std::max_element(up_by_rack_.begin(), up_by_rack_.end());
   racks_with_.assign(most == up_by_rack_.end() ? 1 : *most + 1, 0);
   for (const int it : up_by_rack_) ++racks_with_[it];
+  survives_zone_ = standing - worst_zone - 1 >= floor_;
 }
 
 // A service whose budget is nearly used up must survive two racks.
@@ -146,17 +159,34 @@
   return only_one ? most - 1 : most;
 }
 
+int PoolRoom::WorstZoneWithout(std::string_view zone) const {
+  int most = 0;
+  for (const auto& [name, up] : up_by_zone_) {
+    most = std::max(most, name == zone ? up - 1 : up);
+  }
+  return most;
+}
+
+// The floor must stand if the worst rack fails now and, in a pool that is
+// large enough for it, if the worst zone does.
+bool PoolRoom::KeepsFloor(const base::VmRow& row, int up_after) {
+  const int in_racks = racks_to_survive_ * WorstRackWithout(RackOf(row));
+  const int in_zone = survives_zone_ ? WorstZoneWithout(row.zone.value) : 0;
+  const int exposed = std::max(in_racks, in_zone);
+  if (up_after - exposed >= floor_) return true;
+  limit_ =
+      std::to_string(up_) + " up, floor " + std::to_string(floor_) +
+      " must survive the loss of " + std::to_string(exposed) + " VMs in " +
+      (in_zone > in_racks ? std::string("a zone")
+                          : std::to_string(racks_to_survive_) + " rack(s)");
+  return false;
+}
+
 bool PoolRoom::Allows(const base::VmRow& row) {
   if (!in_hours_) return false;
   const int rack = RackOf(row);
   const int up_after = up_ - 1;
-  const int exposed = racks_to_survive_ * WorstRackWithout(rack);
-  if (up_after - exposed < floor_) {
-    limit_ = std::to_string(up_) + " up, floor " + std::to_string(floor_) +
-             " must survive " + std::to_string(racks_to_survive_) +
-             " rack(s) with " + std::to_string(exposed) + " VMs";
-    return false;
-  }
+  if (!KeepsFloor(row, up_after)) return false;
   if (up_after < demand_) {
     limit_ = "demand of " + std::to_string(demand_) + " VMs, " +
              std::to_string(up_) + " up";
--- a/src/control/wave.h
+++ b/src/control/wave.h
@@ -14,10 +14,10 @@
 struct WaveSettings {
   JudgeSettings judge;
   base::Millis return_limit = base::Minutes(15);  ///< Out so long: failed.
-  base::Millis canary_soak = base::Minutes(3);  ///< First VM up so long first.
+  base::Millis canary_soak = base::Minutes(1);  ///< First VM up so long first.
   base::Millis failure_watch = base::Hours(1);  ///< Down so soon after: failed.
   base::Millis cycle = base::Minutes(6);  ///< Expected from drain to verdict.
-  int growth = 4;         ///< VMs out at once per VM that came back well.
+  int growth = 8;         ///< VMs out at once per VM that came back well.
   int stop_percent = 10;  ///< Failed share that stops a wave.
   int stop_failures = 2;  ///< Fewer failures never stop it, but the canary's.
 };
