--- a/src/control/planner.cc
+++ b/src/control/planner.cc
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::string_view kActionTexts[] = {"move", "take-out", "admit"};
-// A pool gives VMs back only when it has at least this many too many.
+// Where moves weigh as much as the buffer, a pool keeps so many VMs too many.
 constexpr int kSurplusBand = 1;
 
 // One VM that a pool may give away, with its rack and zone as small numbers.
@@ -120,15 +120,24 @@
   zone_counts_.resize(zones_.size());
 }
 
-// VMs that an active wave needs above the pool's target to take any out.
+// How many VMs an active wave should be able to have out of the pool at once.
+// Where moves weigh least, VMs are lent until few rounds suffice.
 int Planning::WaveWidthWanted(const PoolHealth& pool) const {
   const base::WaveRow* wave = ActiveWave(view_, pool.pool);
   if (wave == nullptr) return 0;
-  const bool wants =
-      std::any_of(pool.vms.begin(), pool.vms.end(), [&](const VmStatus& it) {
-        return it.health == VmHealth::kUp && WaveWants(view_, *wave, *it.row);
-      });
-  return wants ? 1 : 0;
+  if (OutsideHours(pool, settings_.wave_cycle, now_) != nullptr) return 0;
+  int left = 0;
+  for (const VmStatus& it : pool.vms) {
+    const bool out = it.health == VmHealth::kOutByUs;
+    const bool wanted =
+        it.health == VmHealth::kUp && WaveWants(view_, *wave, *it.row);
+    if (out || wanted) ++left;
+  }
+  const base::Weights& weights = pool.need.weights;
+  if (weights.rollout <= weights.moves) return std::min(left, 1);
+  const int size = static_cast<int>(pool.vms.size());
+  const int rounds = settings_.wave_rounds;
+  return std::min(left, (size + rounds - 1) / rounds);
 }
 
 void Planning::WeighPool(const PoolHealth& pool, const PoolReserve& reserve) {
@@ -284,7 +293,8 @@
     const base::Weights& weights = it.pool->need.weights;
     const bool keeps = weights.moves > weights.buffer && held >= reserve_.hold;
     if (keeps) continue;
-    while (it.surplus > kSurplusBand &&
+    const int band = weights.moves < weights.buffer ? 0 : kSurplusBand;
+    while (it.surplus > band &&
            static_cast<int>(decisions_.size()) < settings_.max_moves) {
       Candidate* candidate = BestCandidate(it, *spare);
       if (candidate == nullptr) break;
--- a/src/control/planner.h
+++ b/src/control/planner.h
@@ -32,7 +32,10 @@
   base::Millis replace_after = base::Minutes(5);  ///< Down so long: replaced.
   base::Millis return_limit = base::Minutes(15);  ///< Out so long: replaced.
   base::Millis settle = base::Minutes(30);  ///< Between two moves of one VM.
-  int max_moves = 500;                      ///< In one step.
+  /// A wave is widened by lent VMs until it needs so many rounds at most.
+  int wave_rounds = 5;
+  base::Millis wave_cycle = base::Minutes(6);  ///< As WaveSettings::cycle.
+  int max_moves = 500;                         ///< In one step.
 };
 
 /// Moves between pools and VMs to admit after maintenance. Deterministic;
--- a/src/control/wave.cc
+++ b/src/control/wave.cc
@@ -136,19 +136,13 @@
   }
 }
 
-// All VMs taken out now must be back before any team's hours end.
 bool PoolRoom::CheckHours(const PoolHealth& pool, const WaveSettings& settings,
                           WallMillis now) {
-  const int minute = MinuteOfDay(now);
-  for (const base::ServiceDocument* it : pool.need.documents) {
-    const WallMillis back = now + settings.cycle + it->graceful_stop;
-    const bool inside = InMaintenanceHours(*it, minute) &&
-                        InMaintenanceHours(*it, MinuteOfDay(back));
-    if (inside) continue;
-    limit_ = "outside the maintenance hours of team " + it->team.value;
-    return false;
-  }
-  return true;
+  const base::ServiceDocument* document =
+      OutsideHours(pool, settings.cycle, now);
+  if (document == nullptr) return true;
+  limit_ = "outside the maintenance hours of team " + document->team.value;
+  return false;
 }
 
 // VMs up in the fullest rack after one VM of `rack` is gone.
@@ -453,6 +447,17 @@
   return steps;
 }
 
+const base::ServiceDocument* OutsideHours(const PoolHealth& pool, Millis cycle,
+                                          WallMillis now) {
+  for (const base::ServiceDocument* it : pool.need.documents) {
+    const WallMillis back = now + cycle + it->graceful_stop;
+    const bool inside = InMaintenanceHours(*it, MinuteOfDay(now)) &&
+                        InMaintenanceHours(*it, MinuteOfDay(back));
+    if (!inside) return it;
+  }
+  return nullptr;
+}
+
 bool InMaintenanceHours(const base::ServiceDocument& document, int minute) {
   const int from = document.maintenance_from_minute;
   const int to = document.maintenance_to_minute;
--- a/src/control/wave.h
+++ b/src/control/wave.h
@@ -79,6 +79,12 @@
 bool WaveWants(const base::FleetView& view, const base::WaveRow& wave,
                const base::VmRow& row);
 
+/// Null when a VM of `pool` taken out now would be back within every team's
+/// maintenance hours; else a document whose hours forbid it.
+const base::ServiceDocument* OutsideHours(const PoolHealth& pool,
+                                          base::Millis cycle,
+                                          base::WallMillis now);
+
 /// True when `minute` of the UTC day lies in the team's maintenance hours.
 bool InMaintenanceHours(const base::ServiceDocument& document, int minute);
 
