--- a/src/ctl/command_line.cc
+++ b/src/ctl/command_line.cc
@@ -1,5 +1,7 @@
 #include <boost/program_options.hpp>
+#include <exception>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,7 +31,8 @@
   po::options_description options("Options");
   auto add = options.add_options();
   add("control", po::value(&line.control)->composing(),
-      "IP:port of a control process; repeat for several, tried in turn");
+      "IP:port of a control process; several, separated by commas or with the "
+      "option repeated, are tried in turn");
   add("output", po::value(&line.output), "text or json");
   add("if-match", po::value(&line.if_match),
       "entity tag that the document in force must have");
@@ -79,10 +82,25 @@
   return kUsage;
 }
 
+std::vector<std::string> SplitAddresses(const std::vector<std::string>& given) {
+  std::vector<std::string> addresses;
+  for (const std::string& it : given) {
+    std::istringstream list(it);
+    std::string address;
+    while (std::getline(list, address, ',')) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+// An address that can't be parsed throws before anything is sent.
 asio::awaitable<void> RunThenStop(const Command& command,
                                   Invocation& invocation,
                                   kernel::WorkerPool& pool, int& code) {
-  code = co_await command.run(invocation);
+  try {
+    code = co_await command.run(invocation);
+  } catch (const std::exception& e) {
+    code = UsageError(invocation.err, e.what());
+  }
   pool.Stop();
 }
 
@@ -90,7 +108,7 @@
             std::ostream& err) {
   kernel::WorkerPool pool(1);
   kernel::HttpClient http(pool);
-  ApiClient api(http, std::move(line.control), base::Millis{line.timeout});
+  ApiClient api(http, SplitAddresses(line.control), base::Millis{line.timeout});
   const auto format =
       line.output == "json" ? OutputFormat::kJson : OutputFormat::kText;
   Invocation invocation{
