--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -48,8 +48,53 @@
   std::optional<AttemptFailure> failure;
   std::string problem;
   Answer answer;  ///< The target's, when there is a whole one.
+
+  AttemptResult OnError(const kernel::HttpError& error);
+  AttemptResult OnAnswer(kernel::HttpResponse response);
 };
 
+AttemptResult Dispatcher::Attempt::OnError(const kernel::HttpError& error) {
+  problem = error.what;
+  switch (error.failure) {
+    case kernel::HttpFailure::kNotSent:
+      failure = AttemptFailure::kNotSent;
+      return error.what == kernel::kNotAllowedToSend
+                 ? AttemptResult::kNotStarted
+                 : AttemptResult::kFailed;
+    case kernel::HttpFailure::kTimeout:
+      failure = AttemptFailure::kTimeout;
+      return AttemptResult::kFailed;
+    case kernel::HttpFailure::kBroken:
+      break;
+  }
+  failure = AttemptFailure::kBroken;
+  return AttemptResult::kFailed;
+}
+
+// Trusts only that the response is whole: it may be another request's.
+AttemptResult Dispatcher::Attempt::OnAnswer(kernel::HttpResponse response) {
+  const std::string_view echoed = response.Header("Hemlockward-Request-Id");
+  if (!echoed.empty() && echoed != request->id) {
+    failure = AttemptFailure::kBroken;
+    problem = "the answer was to another request";
+    return AttemptResult::kFailed;
+  }
+  const bool refused = !response.Header("Hemlockward-Refused").empty();
+  if (refused && response.status == 503) {
+    failure = AttemptFailure::kRefused;
+    problem = "the VM refused the request";
+    return AttemptResult::kNotStarted;
+  }
+  answer.outcome = Outcome::kDone;
+  answer.status = response.status;
+  answer.content_type = std::string(response.Header("Content-Type"));
+  answer.body = std::move(response.body);
+  if (response.status < 500) return AttemptResult::kOk;
+  failure = AttemptFailure::kServerError;
+  problem = "status " + std::to_string(response.status);
+  return AttemptResult::kFailed;
+}
+
 /// What a request has behind it.
 struct Dispatcher::Progress {
   std::shared_ptr<const Request> request;
@@ -187,61 +232,34 @@
   std::function<bool()> may_send = [this, attempt] {
     return MaySend(*attempt);
   };
-  bool refused_here = false;
-  auto result = co_await http_.Call(attempt->hold.address, std::move(message),
-                                    attempt->time_limit, std::move(may_send));
   AttemptResult effect = AttemptResult::kFailed;
-  if (!result) {
-    const kernel::HttpError& error = result.error();
-    attempt->problem = error.what;
-    if (error.failure == kernel::HttpFailure::kNotSent) {
-      attempt->failure = AttemptFailure::kNotSent;
-      refused_here = error.what == kernel::kNotAllowedToSend;
-      if (refused_here) effect = AttemptResult::kNotStarted;
-    } else if (error.failure == kernel::HttpFailure::kTimeout) {
-      attempt->failure = AttemptFailure::kTimeout;
-    } else {
-      attempt->failure = AttemptFailure::kBroken;
-    }
-  } else {
-    const std::string_view echoed = result->Header("Hemlockward-Request-Id");
-    if (!echoed.empty() && echoed != attempt->request->id) {
-      attempt->failure = AttemptFailure::kBroken;
-      attempt->problem = "the answer was to another request";
-    } else if (!result->Header("Hemlockward-Refused").empty() &&
-               result->status == 503) {
-      attempt->failure = AttemptFailure::kRefused;
-      attempt->problem = "the VM refused the request";
-      effect = AttemptResult::kNotStarted;
-    } else {
-      attempt->answer.outcome = Outcome::kDone;
-      attempt->answer.status = result->status;
-      attempt->answer.content_type =
-          std::string(result->Header("Content-Type"));
-      attempt->answer.body = std::move(result->body);
-      if (result->status >= 500) {
-        attempt->failure = AttemptFailure::kServerError;
-        attempt->problem = "status " + std::to_string(result->status);
-      } else {
-        effect = AttemptResult::kOk;
-      }
-    }
+  try {
+    auto result = co_await http_.Call(attempt->hold.address, std::move(message),
+                                      attempt->time_limit, std::move(may_send));
+    effect = result ? attempt->OnAnswer(std::move(*result))
+                    : attempt->OnError(result.error());
+  } catch (const std::exception& e) {
+    attempt->failure =
+        attempt->sent ? AttemptFailure::kBroken : AttemptFailure::kNotSent;
+    attempt->problem = e.what();
   }
   const Millis now = clock_.Now();
   const auto elapsed = static_cast<double>((now - began).count);
   const HealthChange change =
       tables_.scheduler.Release(attempt->hold, effect, elapsed, now);
-  if (change != HealthChange::kNone) {
-    const bool ejected = change == HealthChange::kEjected;
-    tables_.metrics.Count(ejected ? "hemlockward_ejections_total"
-                                  : "hemlockward_readmissions_total");
-    base::LogLine(base::LogLevel::kWarning, "vm_health")
-        .With("vm", attempt->hold.vm.value)
-        .With("change", ejected ? "ejected" : "readmitted");
-  }
+  if (change != HealthChange::kNone) RecordHealth(attempt->hold, change);
   attempt->ended->Notify();
 }
 
+void Dispatcher::RecordHealth(const SlotHold& hold, HealthChange change) {
+  const bool ejected = change == HealthChange::kEjected;
+  tables_.metrics.Count(ejected ? "hemlockward_ejections_total"
+                                : "hemlockward_readmissions_total");
+  base::LogLine(base::LogLevel::kWarning, "vm_health")
+      .With("vm", hold.vm.value)
+      .With("change", ejected ? "ejected" : "readmitted");
+}
+
 std::optional<Answer> Dispatcher::AfterFailure(Progress& progress,
                                                const Attempt& attempt) {
   AttemptHistory& history = progress.history;
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -54,6 +54,7 @@
   boost::asio::awaitable<std::optional<Answer>> Try(Progress& progress,
                                                     SlotHold hold);
   boost::asio::awaitable<void> Send(std::shared_ptr<Attempt> attempt);
+  void RecordHealth(const SlotHold& hold, HealthChange change);
   [[nodiscard]] bool MaySend(Attempt& attempt) const;
   std::optional<Answer> AfterFailure(Progress& progress,
                                      const Attempt& attempt);
--- a/src/entry/server.cc
+++ b/src/entry/server.cc
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <charconv>
+#include <exception>
 #include <utility>
 
 #include "base/random.h"
@@ -146,6 +147,17 @@
       not_ready_(std::move(not_ready)) {}
 
 asio::awaitable<HttpResponse> CallerApi::Handle(HttpRequest request) {
+  std::string problem;
+  try {
+    co_return co_await Route(std::move(request));
+  } catch (const std::exception& e) {
+    problem = e.what();
+  }
+  co_return ToHttp(Refusal(Outcome::kUnknown, 500, std::move(problem)),
+                   NewRequestId());
+}
+
+asio::awaitable<HttpResponse> CallerApi::Route(HttpRequest request) {
   const std::string path(request.Path());
   const auto parts = kernel::SplitPath(path);
   const bool get = request.method == "GET";
@@ -193,6 +205,9 @@
   if (respond_async && request->key.empty()) {
     request->key = keyed_.Mint(1).front();
   }
+  if (respond_async && message.Header("Hemlockward-Timeout-Ms").empty()) {
+    request->deadline = clock_.Now() + settings_.max_request_timeout;
+  }
   const std::string key = request->key;
   const Answer answer = co_await Run(std::move(*request), respond_async);
   HttpResponse response = ToHttp(answer, id);
--- a/src/entry/server.h
+++ b/src/entry/server.h
@@ -35,6 +35,8 @@
       kernel::HttpRequest request);
 
  private:
+  boost::asio::awaitable<kernel::HttpResponse> Route(
+      kernel::HttpRequest request);
   boost::asio::awaitable<kernel::HttpResponse> HandleRequest(
       kernel::HttpRequest request, std::string_view service);
   boost::asio::awaitable<kernel::HttpResponse> HandleKey(
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -32,7 +32,7 @@
   base::Millis max_request_timeout = base::Hours(6);
   base::Millis stop_notice{
       1000};  ///< `/readyz` fails this long before closing.
-  base::Millis stop_limit = base::Minutes(10);
+  base::Millis stop_limit = base::Hours(6);
   std::int64_t max_body_bytes = 8 * 1024 * 1024;
   std::int64_t max_connections = 4096;
   std::int64_t outcome_bytes = 32 * 1024 * 1024;  ///< Kept outcomes in memory.
--- a/src/entry/view_guard.cc
+++ b/src/entry/view_guard.cc
@@ -12,6 +12,7 @@
 
 void ViewGuard::Install(std::shared_ptr<const base::FleetView> view) {
   const std::lock_guard lock(mutex_);
+  if (view->revision < view_->revision) return;  // A slower thread's.
   view_ = std::move(view);
   Update();
 }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -77,6 +77,16 @@
   EXPECT_EQ(answer->status, 413);
 }
 
+TEST_F(HttpTest, NothingIsSentOnceThatIsNotAllowed) {
+  const std::string address = "127.0.0.1:" + std::to_string(server_->port());
+  const auto answer = tests::RunBlocking(
+      pool_, client_.Call(address, {"POST", "/echo", {}, "x"}, {200},
+                          [] { return false; }));
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().failure, HttpFailure::kNotSent);
+  EXPECT_EQ(answer.error().what, kNotAllowedToSend);
+}
+
 TEST_F(HttpTest, RefusedConnectionSentNothing) {
   const auto result =
       tests::RunBlocking(pool_, client_.Call("127.0.0.1:1", {}, {200}));
