--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+#include <cstdlib>
 #include <map>
+#include <new>
 
 #include "entry/admission.h"
 #include "entry/ejection.h"
@@ -9,6 +12,17 @@
 #include "entry/retry.h"
 #include "entry/router.h"
 
+// Counts what the whole program allocates, for tests of paths that must not.
+static std::size_t allocations = 0;
+
+void* operator new(std::size_t size) {
+  ++allocations;
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+void operator delete(void* memory) noexcept { std::free(memory); }
+void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
 // Queue, admission, retry, ejection and routing of requests.
 namespace hemlockward::entry {
 namespace {
@@ -355,6 +369,23 @@
   }
 }
 
+TEST_F(RouterTest, DecisionsAllocateNothing) {
+  router_.Install(MakeView(500, 500));
+  const base::ServiceId service("s");
+  const std::array<SlotIndex, 2> avoid = {1, 2};
+  // Each worker's row is listed once as changed.
+  for (int i = 0; i < 2000; ++i) {
+    router_.Finish(router_.Pick(service, avoid, {0}, random_)->row,
+                   AttemptResult::kOk, 5, {0});
+  }
+  const std::size_t before = allocations;
+  for (int i = 0; i < 2000; ++i) {
+    const auto route = router_.Pick(service, avoid, {0}, random_);
+    router_.Finish(route->row, AttemptResult::kOk, 5, {0});
+  }
+  EXPECT_EQ(allocations, before);
+}
+
 TEST_F(RouterTest, EjectedWorkersGetOneTrial) {
   router_.Install(MakeView(4, 0));
   for (int i = 0; i < 200; ++i) {
