Waves: pools take turns, the one with most VMs left first

Cause: after the canary the first pools by name used up what the wave may take; the last pool started a round late.

--- a/src/control/wave.cc
+++ b/src/control/wave.cc
@@ -211,6 +211,14 @@
   --up_;
 }
 
+// The VMs of one pool that a wave still has to take, in their order.
+struct PoolQueue {
+  const PoolHealth* pool;
+  PoolRoom room;
+  std::vector<const base::VmRow*> vms{};
+  std::size_t next = 0;
+};
+
 // One wave's step over the pools that it includes.
 class WaveStepping {
  public:
@@ -235,8 +243,10 @@
   void ClassifyTaken(const VmStatus& vm);
   bool ShouldStop();
   int Allowance();
-  void TakeFrom(const PoolHealth& pool,
-                const std::vector<const VmStatus*>& todo, int& allowance);
+  PoolQueue Queue(const PoolHealth& pool,
+                  const std::vector<const VmStatus*>& todo);
+  bool TakeOne(PoolQueue& queue);
+  void TakeTurns(int allowance);
 
   const base::FleetView& view_;
   const base::WaveRow& wave_;
@@ -340,38 +350,66 @@
   return std::max(0, width - progress.out);
 }
 
-// Takes VMs of the fullest racks first: that lowers what a rack's failure
-// costs, so that more may go.
-void WaveStepping::TakeFrom(const PoolHealth& pool,
-                            const std::vector<const VmStatus*>& todo,
-                            int& allowance) {
-  PoolRoom room(pool, demand_, accounts_, settings_, now_);
-  std::vector<std::pair<int, const VmStatus*>> order;
-  order.reserve(todo.size());
-  for (const VmStatus* it : todo) {
-    order.emplace_back(-room.UpInRack(room.RackOf(*it->row)), it);
-  }
-  std::stable_sort(
-      order.begin(), order.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [rank, vm] : order) {
-    if (allowance <= 0) return;
-    if (!room.Allows(*vm->row)) continue;
-    room.TakeOut(*vm->row);
-    --allowance;
+// VMs of the fullest racks go first: that lowers what a rack's failure costs,
+// so that more may go.
+PoolQueue WaveStepping::Queue(const PoolHealth& pool,
+                              const std::vector<const VmStatus*>& todo) {
+  PoolQueue queue{&pool, PoolRoom(pool, demand_, accounts_, settings_, now_)};
+  for (const VmStatus* it : todo) queue.vms.push_back(it->row);
+  const auto up_in_rack = [&](const base::VmRow* row) {
+    return queue.room.UpInRack(queue.room.RackOf(*row));
+  };
+  std::stable_sort(queue.vms.begin(), queue.vms.end(),
+                   [&](const base::VmRow* a, const base::VmRow* b) {
+                     return up_in_rack(a) > up_in_rack(b);
+                   });
+  return queue;
+}
+
+// Takes the next VM that the pool allows; false when there is none.
+bool WaveStepping::TakeOne(PoolQueue& queue) {
+  while (queue.next < queue.vms.size()) {
+    const base::VmRow& row = *queue.vms[queue.next++];
+    if (!queue.room.Allows(row)) continue;
+    queue.room.TakeOut(row);
     Decision decision;
-    decision.vm = vm->row->vm;
+    decision.vm = row.vm;
     decision.action = Action::kTakeOut;
     decision.wave = wave_.wave;
-    decision.reason = "wave " + wave_.wave.value + ": pool " + pool.pool.value +
-                      " stays above its floor of " +
-                      std::to_string(pool.need.floor) +
+    decision.reason = "wave " + wave_.wave.value + ": pool " +
+                      queue.pool->pool.value + " stays above its floor of " +
+                      std::to_string(queue.pool->need.floor) +
                       " even if its worst rack fails";
     step_.take_out.push_back(std::move(decision));
+    return true;
   }
-  if (step_.reason.empty() && !room.limit().empty()) {
-    step_.reason = "pool " + pool.pool.value + ": " + room.limit();
+  return false;
+}
+
+// Pools take turns, the one with most VMs left first, so that none is kept
+// waiting while the wave as a whole may take out few.
+void WaveStepping::TakeTurns(int allowance) {
+  std::stable_sort(todo_.begin(), todo_.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.second.size() > b.second.size();
+                   });
+  std::vector<PoolQueue> queues;
+  for (const auto& [pool, todo] : todo_) queues.push_back(Queue(*pool, todo));
+  bool progress = true;
+  while (progress) {
+    progress = false;
+    for (PoolQueue& it : queues) {
+      if (allowance <= 0) return;
+      if (!TakeOne(it)) continue;
+      --allowance;
+      progress = true;
+    }
   }
+  if (!step_.reason.empty() || queues.empty()) return;
+  const PoolQueue& longest = queues.front();
+  if (longest.room.limit().empty()) return;
+  step_.reason =
+      "pool " + longest.pool->pool.value + ": " + longest.room.limit();
 }
 
 WaveStep WaveStepping::Finish() {
@@ -387,11 +425,8 @@
                    std::to_string(progress.skipped) + " down by themselves";
     return std::move(step_);
   }
-  int allowance = Allowance();
-  for (const auto& [pool, todo] : todo_) {
-    if (allowance <= 0) break;
-    TakeFrom(*pool, todo, allowance);
-  }
+  const int allowance = Allowance();
+  if (allowance > 0) TakeTurns(allowance);
   return std::move(step_);
 }
 
