Say not-run for keys made after their owner surely ended

Cause: with one of three entries killed in a 15 s table outage, 427 of 2,042 not-repeatable requests under caller-made keys were told unknown (tests/system/outage_test.py killed): a third of the new keys still belonged to the dead entry. Weighed: taking silence as proof (a paused entry is silent too), and a refused connection, which only an ended process gives. A key stamped twice the skew after the first refusal can't have run there, so its caller is told not-run and may send anew under another key.

No functional change to keys of live owners.

--- a/src/entry/keyed.cc
+++ b/src/entry/keyed.cc
@@ -115,6 +115,7 @@
 
 std::vector<std::string> KeyedRequests::Mint(int n) {
   std::vector<std::string> keys;
+  keys.reserve(static_cast<std::size_t>(n));
   const base::WallMillis now = clock_.Wall();
   for (int i = 0; i < n; ++i) {
     keys.push_back(MintKey(options_.self.entry, options_.self.incarnation, now,
@@ -156,6 +157,10 @@
       if (gone) co_return co_await Stored(key->text, problem);
     } else if (IsSelf(owner->row)) {
       co_return co_await RunHere(*key, std::move(request), respond_async);
+    } else if (NeverRan(*key, owner->row)) {
+      co_return Refusal(Outcome::kNotRun, 503,
+                        "the key's owner had ended before the key was made; "
+                        "use a new key");
     } else if (!owner->present) {
       co_return co_await Stored(key->text, "the key's owner is gone");
     } else {
@@ -333,6 +338,17 @@
   co_return Refusal(Outcome::kUnknown, 404, reason);
 }
 
+void KeyedRequests::OnRefused(const std::string& address) {
+  const auto view = view_.Snapshot();
+  const std::lock_guard lock(mutex_);
+  ended_.OnRefused(view->membership, address, clock_.Wall());
+}
+
+bool KeyedRequests::NeverRan(const Key& key, const base::EntryRow& owner) {
+  const std::lock_guard lock(mutex_);
+  return ended_.NeverRan(key, owner, options_.policy);
+}
+
 // Empty when the owner didn't answer; it may have run the request.
 asio::awaitable<std::optional<Answer>> KeyedRequests::Forward(
     const Key& key, base::EntryRow owner, const Request& request,
@@ -359,7 +375,10 @@
       .With("reason", "owner of the key");
   const auto reply = co_await peers_.Call(owner.peer_address, message,
                                           remaining + kGrace + kGrace);
-  if (!reply) co_return std::nullopt;
+  if (!reply) {
+    if (reply.error().refused) OnRefused(owner.peer_address);
+    co_return std::nullopt;
+  }
   co_return FromMessage(*reply, request.id);
 }
 
--- a/src/entry/keyed.h
+++ b/src/entry/keyed.h
@@ -15,6 +15,7 @@
 #include "base/fleet.h"
 #include "entry/claims.h"
 #include "entry/dispatch.h"
+#include "entry/ended_owners.h"
 #include "entry/outcome_store.h"
 #include "entry/owner.h"
 #include "entry/request.h"
@@ -29,7 +30,8 @@
 /// run's outcome. Thread-safe.
 ///
 /// A key whose request was answered not-run never runs later. An entry that
-/// isn't the owner and can't reach it answers unknown: another entry may have.
+/// isn't the owner and can't reach it answers unknown, as another entry may
+/// have, unless the owner had surely ended before the key was made.
 class KeyedRequests {
  public:
   struct Options {
@@ -52,6 +54,8 @@
   boost::asio::awaitable<Answer> Run(Request request, bool respond_async);
   /// What became of a key; with `cancel` it is cancelled unless already sent.
   boost::asio::awaitable<Answer> Ask(std::string key, bool cancel);
+  /// A connection to a peer's address was refused.
+  void OnRefused(const std::string& address);
   /// Answers a peer's ForwardRequest or OutcomeRequest.
   boost::asio::awaitable<peer::gen::Message> AnswerPeer(
       std::shared_ptr<const peer::gen::Message> call);
@@ -70,6 +74,7 @@
   void Finish(const Key& key, const OutcomePtr& outcome);
   void NotifyAll(const std::vector<Waiter>& waiters, const OutcomePtr& outcome);
   Answer AskHere(const Key& key, bool cancel);
+  bool NeverRan(const Key& key, const base::EntryRow& owner);
   boost::asio::awaitable<std::optional<Answer>> Forward(const Key& key,
                                                         base::EntryRow owner,
                                                         const Request& request,
@@ -93,6 +98,7 @@
 
   std::mutex mutex_;  // Guards all below; "claims" in the lock order.
   Claims claims_;
+  EndedOwners ended_;
   std::unordered_map<Waiter, std::shared_ptr<Caller>> callers_;
   std::unordered_map<std::string, std::uint64_t> numbers_;  // Of running keys.
   Waiter next_waiter_ = 1;
--- a/src/entry/loans.cc
+++ b/src/entry/loans.cc
@@ -23,6 +23,7 @@
 
 std::vector<SlotGrant> ToGrants(const std::map<std::string, std::int32_t>& by) {
   std::vector<SlotGrant> grants;
+  grants.reserve(by.size());
   for (const auto& [vm, tokens] : by) {
     grants.push_back({base::VmId(vm), tokens});
   }
@@ -64,6 +65,7 @@
   }
   std::ranges::sort(found);
   std::vector<std::string> addresses;
+  addresses.reserve(found.size());
   for (auto& [demand, address] : found) {
     addresses.push_back(std::move(address));
   }
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -28,6 +28,7 @@
              peer::PeerClient& client, peer::ViewStore& view, Options options,
              std::function<EntryStatus()> status,
              std::function<void(const PeerStatus&)> on_reply,
+             std::function<void(const std::string&)> on_refused,
              std::function<void()> on_view)
     : pool_(pool),
       clock_(clock),
@@ -36,6 +37,7 @@
       options_(std::move(options)),
       status_(std::move(status)),
       on_reply_(std::move(on_reply)),
+      on_refused_(std::move(on_refused)),
       on_view_(std::move(on_view)) {}
 
 // A peer that doesn't answer is asked again only after its call has timed out.
@@ -100,6 +102,7 @@
   gen::Message message;
   message.__set_heartbeat(heartbeat);
   const auto answer = co_await client_.Call(address, message, options_.timeout);
+  if (!answer && answer.error().refused) on_refused_(address);
   if (!answer || !answer->__isset.heartbeat_reply) co_return;
 
   const gen::HeartbeatReply& reply = answer->heartbeat_reply;
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -51,12 +51,14 @@
     base::Millis timeout;
   };
 
-  /// `status` is asked before each message; `on_reply` hears of every reply;
+  /// `status` is asked before each message; `on_reply` hears of every reply,
+  /// `on_refused` of every address where no process listens;
   /// `on_view` is called after the view has moved forward.
   Peers(kernel::WorkerPool& pool, const base::SystemClock& clock,
         peer::PeerClient& client, peer::ViewStore& view, Options options,
         std::function<EntryStatus()> status,
         std::function<void(const PeerStatus&)> on_reply,
+        std::function<void(const std::string&)> on_refused,
         std::function<void()> on_view);
 
   /// Sends heartbeats until Stop.
@@ -83,6 +85,7 @@
   Options options_;
   std::function<EntryStatus()> status_;
   std::function<void(const PeerStatus&)> on_reply_;
+  std::function<void(const std::string&)> on_refused_;
   std::function<void()> on_view_;
   std::atomic<bool> stopped_{false};
 
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -127,6 +127,7 @@
           {self, settings.peers, settings.heartbeat, settings.peer_timeout},
           [this] { return OwnStatus(); },
           [this](const PeerStatus& status) { OnReply(status); },
+          [this](const std::string& address) { keyed.OnRefused(address); },
           [this] { OnView(); }),
       loans(pool, clock, peer_client, scheduler, peers, self),
       keyed(pool, clock, view, dispatcher, scheduler, peer_client, outcomes,
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -320,7 +320,9 @@
                                               Redirect(ec));
     if (ec) {
       connection->ClearDeadline();
-      co_return tl::unexpected(PeerError{PeerFailure::kNotSent, ec.message()});
+      const bool refused = ec == asio::error::connection_refused;
+      co_return tl::unexpected(
+          PeerError{PeerFailure::kNotSent, ec.message(), refused});
     }
     connection->socket.set_option(tcp::no_delay(true), ec);
   }
--- a/src/peer/transport.h
+++ b/src/peer/transport.h
@@ -35,6 +35,8 @@
 struct PeerError {
   PeerFailure failure = PeerFailure::kNotSent;
   std::string what;
+  /// With kNotSent: the machine answered that no process listens there.
+  bool refused = false;
 };
 
 /// The bytes of a message, without the frame's length.
--- /dev/null
+++ b/tests/entry_ended_owners_test.cc
@@ -0,0 +1,56 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "entry/ended_owners.h"
+
+namespace hemlockward::entry {
+namespace {
+
+using base::Millis;
+using base::WallMillis;
+
+base::Membership MembershipOf(base::Incarnation incarnation) {
+  base::EntryRow row;
+  row.entry = base::EntryId("a");
+  row.incarnation = incarnation;
+  row.peer_address = "10.0.0.1:1";
+  base::Membership membership;
+  membership.entries = {row};
+  return membership;
+}
+
+TEST(EndedOwners, OnlyARefusalAtTheOwnersAddressIsProof) {
+  const base::Membership membership = MembershipOf(7);
+  const KeyPolicy policy;
+  Key key;
+  key.stamped = {1'000'000};
+  EndedOwners ended;
+  EXPECT_FALSE(ended.NeverRan(key, membership.entries[0], policy));
+  ended.OnRefused(membership, "10.0.0.2:1", {0});
+  EXPECT_FALSE(ended.NeverRan(key, membership.entries[0], policy));
+  ended.OnRefused(membership, "10.0.0.1:1", {0});
+  EXPECT_TRUE(ended.NeverRan(key, membership.entries[0], policy));
+  EXPECT_FALSE(ended.NeverRan(key, MembershipOf(8).entries[0], policy));
+}
+
+// Whatever the clocks of the owner and of the entry that saw it refuse, within
+// the skew, no key that the owner can have accepted is said never to have run.
+RC_GTEST_PROP(EndedOwnersProperty, NoKeyThatCanHaveRunIsDenied, ()) {
+  const KeyPolicy policy;
+  const auto skew = *rc::gen::inRange<std::int64_t>(-policy.max_skew.count,
+                                                    policy.max_skew.count + 1);
+  const auto died = *rc::gen::inRange<std::int64_t>(0, 100'000);
+  const auto ran = *rc::gen::inRange<std::int64_t>(0, died + 1);
+  const auto seen = died + *rc::gen::inRange<std::int64_t>(0, 1000);
+  const auto ahead =
+      *rc::gen::inRange<std::int64_t>(-5000, policy.max_skew.count);
+  Key key;
+  key.stamped = {ran + ahead};  // By the owner's clock; it accepted this.
+  const base::Membership membership = MembershipOf(7);
+  EndedOwners ended;
+  ended.OnRefused(membership, "10.0.0.1:1", {seen + skew});
+  RC_ASSERT(!ended.NeverRan(key, membership.entries[0], policy));
+}
+
+}  // namespace
+}  // namespace hemlockward::entry
--- a/tests/entry_fault_test.cc
+++ b/tests/entry_fault_test.cc
@@ -112,6 +112,28 @@
   EXPECT_EQ(TotalRuns(unused), 0);
 }
 
+// Callers learn at once that they may send anew under another key.
+TEST_F(EntryFaultTest, KeysMadeAfterTheirOwnerEndedAreNotRun) {
+  Start(3, 2);
+  const std::string before = Mint(1);
+  entries_[1]->Kill();
+  // Twice the largest skew after the first refused heartbeat.
+  std::this_thread::sleep_for(milliseconds(1500));
+  int not_run = 0;
+  for (int i = 0; i < 30; ++i) {
+    const std::string key = TimeOrderedKey();
+    const std::string told = OutcomeOf(Send(0, KeyedPost(key, "x")));
+    const std::string again = OutcomeOf(Send(2, KeyedPost(key, "x")));
+    EXPECT_EQ(told, again);
+    EXPECT_EQ(TotalRuns(key), told == "done" ? 1 : 0);
+    if (told == "not-run") ++not_run;
+  }
+  EXPECT_GT(not_run, 0);
+  HttpRequest request = KeyedPost(before, "x");
+  request.headers.push_back({"Hemlockward-Timeout-Ms", "300"});
+  EXPECT_EQ(OutcomeOf(Send(0, request)), "unknown");
+}
+
 TEST_F(EntryFaultTest, OwnerThatDiesInMidRunLeavesItUnknown) {
   Start(3, 1);
   targets_[0]->service_ms = 600;
