Draw the skew property from its bound

Drawn from the bound outwards it fails without the second max_skew, after 1 test, and passes with it.

No functional change

--- a/tests/entry_ended_owners_test.cc
+++ b/tests/entry_ended_owners_test.cc
@@ -38,13 +38,14 @@
 RC_GTEST_PROP(EndedOwnersProperty, NoKeyThatCanHaveRunIsDenied, ()) {
   KeyPolicy policy;
   policy.max_skew = Millis{10};
-  const auto skew = *rc::gen::inRange<std::int64_t>(-policy.max_skew.count,
-                                                    policy.max_skew.count + 1);
+  const auto below = [](std::int64_t most, std::int64_t width) {
+    return most - *rc::gen::inRange<std::int64_t>(0, width);
+  };
   const std::int64_t died = 100'000;
-  const auto ran = died - *rc::gen::inRange<std::int64_t>(0, 5);
-  const auto seen = died + *rc::gen::inRange<std::int64_t>(0, 5);
-  const auto ahead =
-      *rc::gen::inRange<std::int64_t>(-20, policy.max_skew.count);
+  const std::int64_t ran = below(died, 3);
+  const std::int64_t seen = died - below(0, 3);
+  const std::int64_t skew = -below(policy.max_skew.count, 20);
+  const std::int64_t ahead = below(policy.max_skew.count - 1, 20);
   Key key;
   key.stamped = {ran + ahead};  // By the owner's clock; it accepted this.
   const base::Membership membership = MembershipOf(7);
