[shared] Loans: don't ask peers that wait; lend tokens that quota blocks (scheduler.cc, loans.cc)

Cause: in a burst all entries wait for the same workers, and each asked every peer every 5 to 80 ms for tokens that a waiting peer never gives. Also, tokens left free while requests wait are blocked by a class quota; they were kept, so one entry could hold the quota and another the tokens. Ruled out: a longer pause alone, which slows the useful loans as well.

Peers whose last heartbeat reported waiting requests aren't asked; demand counts requests only while no token is free; workers' tokens that quota blocks are lent by half. Each entry starts with another peer. FreeSlots costs O(changed rows) in place of O(available workers).

The quota block itself has no test of its own.

--- a/src/entry/loans.cc
+++ b/src/entry/loans.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/random.h"
 #include "peer/gen/peer_types.h"
 
 namespace hemlockward::entry {
@@ -53,20 +54,22 @@
   pool_.Spawn("borrow", Borrow(service));
 }
 
-// Peers that wait for the service themselves come last.
+// Peers that wait for the service themselves give nothing and aren't asked.
+// Each entry starts with another peer, so that not all ask the same one.
 std::vector<std::string> Loans::Lenders(const base::ServiceId& service) const {
-  std::vector<std::pair<std::int32_t, std::string>> found;
+  std::vector<std::string> addresses;
   for (const PeerStatus& it : peers_.Statuses()) {
     if (it.stopping || clock_.Now() - it.sent > kSilence) continue;
     const auto demand = it.demand.find(service.value);
-    found.emplace_back(demand == it.demand.end() ? 0 : demand->second,
-                       it.address);
-  }
-  std::ranges::sort(found);
-  std::vector<std::string> addresses;
-  for (auto& [demand, address] : found) {
-    addresses.push_back(std::move(address));
+    const int waiting = demand == it.demand.end() ? 0 : demand->second;
+    if (IsWorthAsking(waiting)) addresses.push_back(it.address);
   }
+  if (addresses.empty()) return addresses;
+  std::ranges::sort(addresses);
+  const std::size_t first =
+      base::StableHash(self_.entry.value) % addresses.size();
+  std::ranges::rotate(addresses,
+                      addresses.begin() + static_cast<std::ptrdiff_t>(first));
   return addresses;
 }
 
--- a/src/entry/router.cc
+++ b/src/entry/router.cc
@@ -66,7 +66,8 @@
     const auto next = static_cast<std::uint32_t>(pools_.size());
     const auto [it, added] = pool_index_.try_emplace(document.service, next);
     if (added) {
-      pools_.push_back({document.service, {}, {}, PoolHealth(ejection_), 0, 0});
+      pools_.push_back(
+          {document.service, {}, {}, PoolHealth(ejection_), 0, 0, 0});
     }
     by_pool[document.pool] = {it->second, document.slots_per_vm};
   }
@@ -153,11 +154,7 @@
   const Pool* pool = FindPool(service);
   if (pool == nullptr) return 0;
   Refresh();
-  int free = 0;
-  for (const Group& group : pool->groups) {
-    for (const SlotIndex row : group.available) free += slots_.Free(row);
-  }
-  return free;
+  return pool->free;
 }
 
 int Router::HeldSlots(const base::ServiceId& service) const {
@@ -234,6 +231,8 @@
     places_[available.back()].position = place.position;
     available.pop_back();
   }
+  pool.free -= place.free;
+  place.free = 0;
   place.position = kNowhere;
   place.pool = kNowhere;
 }
@@ -252,6 +251,9 @@
   const bool available =
       slots_.Free(row) > 0 && pool.health.State(row) == HealthState::kHealthy;
   const bool listed = place.position != kNowhere;
+  const int free = available ? slots_.Free(row) : 0;
+  pool.free += free - place.free;
+  place.free = free;
   if (available == listed) return;
   std::vector<SlotIndex>& list = pool.groups[place.group].available;
   if (available) {
--- a/src/entry/router.h
+++ b/src/entry/router.h
@@ -85,7 +85,8 @@
   /// The ledger rows of a service's workers; empty when unknown.
   [[nodiscard]] std::span<const SlotIndex> Rows(
       const base::ServiceId& service) const;
-  /// Free tokens held here for a service's members that aren't ejected.
+  /// Free tokens held here for a service's members that aren't ejected;
+  /// constant cost but for rows changed since the last call.
   [[nodiscard]] int FreeSlots(const base::ServiceId& service);
   /// Tokens held here for a service's members, in use or free.
   [[nodiscard]] int HeldSlots(const base::ServiceId& service) const;
@@ -105,6 +106,7 @@
     std::uint32_t group = 0;        ///< In the pool's groups.
     std::uint32_t position = kNowhere;  ///< In the group's `available`.
     int answers = 0;                    ///< That `slowness` was learned from.
+    int free = 0;                       ///< Its part of the pool's `free`.
   };
 
   /// The workers of one pool in one zone.
@@ -120,6 +122,7 @@
     PoolHealth health;
     double mean_ms = 0;  ///< Of an answer; 0 when none was seen.
     std::uint64_t picks = 0;
+    int free = 0;  ///< Free tokens of workers that are available.
   };
 
   struct Zone {
--- a/src/entry/scheduler.cc
+++ b/src/entry/scheduler.cc
@@ -76,7 +76,9 @@
   return view_->revision;
 }
 
-EntryStatus Scheduler::Status() const {
+// Requests that wait although tokens are free wait for their quota; they need
+// no more workers, and those tokens can be lent.
+EntryStatus Scheduler::Status() {
   EntryStatus status;
   const std::lock_guard lock(mutex_);
   status.revision = view_->revision;
@@ -84,7 +86,8 @@
   status.slots = slots_.Report();
   for (const auto& [id, service] : services_) {
     const auto waiting = static_cast<std::int32_t>(service.queue.size());
-    if (waiting > 0) status.demand[id.value] = waiting;
+    if (waiting == 0 || router_.FreeSlots(id) > 0) continue;
+    status.demand[id.value] = waiting;
   }
   return status;
 }
@@ -298,12 +301,14 @@
   const auto it = services_.find(id);
   if (it == services_.end()) return {};
   const Service& service = it->second;
+  // What waits here can't use the workers' tokens that are still free: it waits
+  // for quota. Those are lent, so that no two entries wait for each other.
   LoanView view;
-  view.own_waiting = static_cast<int>(service.queue.size());
   view.own_free = router_.FreeSlots(id);
   view.peer_waiting = wanted;
   auto grants =
       slots_.Lend(number, router_.Rows(id), wanted, TokensToKeep(view));
+  view.own_waiting = static_cast<int>(service.queue.size());
   for (const SlotIndex row : QuotaRows(service)) {
     view.own_free = slots_.Free(row);
     const auto quota =
--- a/src/entry/scheduler.h
+++ b/src/entry/scheduler.h
@@ -66,7 +66,7 @@
   void Install(std::shared_ptr<const base::FleetView> view, base::Millis now);
   [[nodiscard]] base::Revision revision() const;
   /// What heartbeats say: consistent with one installed view.
-  [[nodiscard]] EntryStatus Status() const;
+  [[nodiscard]] EntryStatus Status();
   void OnPeerReport(const PeerStatus& status, base::Millis now);
   [[nodiscard]] std::uint64_t NextNumber();
 
--- a/src/entry/slots.cc
+++ b/src/entry/slots.cc
@@ -299,4 +299,6 @@
   return view.own_free / 2;
 }
 
+bool IsWorthAsking(int peer_waiting) { return peer_waiting == 0; }
+
 }  // namespace hemlockward::entry
--- a/src/entry/slots.h
+++ b/src/entry/slots.h
@@ -180,4 +180,8 @@
 /// Free tokens to keep back from a loan.
 int TokensToKeep(const LoanView& view);
 
+/// Whether to ask a peer that last reported `peer_waiting` requests waiting for
+/// the same workers: one that waits itself gives nothing.
+bool IsWorthAsking(int peer_waiting);
+
 }  // namespace hemlockward::entry
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -233,6 +233,15 @@
   }
 }
 
+TEST(TokensToKeep, OneThatWaitsGivesNothingAndIsNotAsked) {
+  EXPECT_EQ(TokensToKeep({1, 6, 9}), 6);
+  EXPECT_EQ(TokensToKeep({0, 6, 0}), 6);
+  EXPECT_EQ(TokensToKeep({0, 7, 9}), 3);
+  EXPECT_EQ(TokensToKeep({0, 1, 9}), 0);
+  EXPECT_FALSE(IsWorthAsking(1));
+  EXPECT_TRUE(IsWorthAsking(0));
+}
+
 TEST(RetryBudget, IsAShareOfSuccesses) {
   RetryPolicy policy;
   policy.budget_most = 2;
@@ -320,6 +329,7 @@
   router_.Install(MakeView(0, 0));
   EXPECT_EQ(Pick().error(), NoRoute::kNoWorkers);
   router_.Install(MakeView(2, 1));
+  EXPECT_EQ(router_.FreeSlots(base::ServiceId("s")), 6);
   std::vector<Route> routes;
   for (int i = 0; i < 6; ++i) {
     const auto route = Pick();
@@ -328,6 +338,7 @@
               i < 4 ? RouteReason::kNear : RouteReason::kOnlyFree);
     routes.push_back(*route);
   }
+  EXPECT_EQ(router_.FreeSlots(base::ServiceId("s")), 0);
   EXPECT_EQ(Pick().error(), NoRoute::kNoFreeSlot);
   router_.Finish(routes[0].row, AttemptResult::kOk, 5, {0});
   EXPECT_EQ(Pick()->row, routes[0].row);
