--- a/bench/load.cc
+++ b/bench/load.cc
@@ -121,4 +121,8 @@
 }  // namespace
 }  // namespace hemlockward::bench
 
-int main(int argc, char** argv) { return hemlockward::bench::Main(argc, argv); }
+int main(int argc, char** argv) {
+  return hemlockward::kernel::RunProgram("hemlockward-load", [argc, argv] {
+    return hemlockward::bench::Main(argc, argv);
+  });
+}
--- a/src/kernel/program.cc
+++ b/src/kernel/program.cc
@@ -1,6 +1,7 @@
 #include "kernel/program.h"
 
 #include <boost/program_options.hpp>
+#include <exception>
 #include <iostream>
 #include <map>
 #include <string>
@@ -69,6 +70,15 @@
   return std::nullopt;
 }
 
+int RunProgram(std::string_view program, const std::function<int()>& body) {
+  try {
+    return body();
+  } catch (const std::exception& e) {
+    std::cerr << program << ": " << e.what() << "\n";
+    return 1;
+  }
+}
+
 void CommonSettings::Bind(base::SettingsReader& reader) {
   constexpr std::int64_t kMostThreads = 256;
   reader.Text("log.level", &level_, "debug, info, warning or error");
--- a/src/kernel/program.h
+++ b/src/kernel/program.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string_view>
 
@@ -16,6 +17,10 @@
                                        std::string_view program,
                                        base::SettingsReader& reader);
 
+/// Runs `body` and returns its exit code; an exception that leaves it, such as
+/// an address in use, is printed and gives 1.
+int RunProgram(std::string_view program, const std::function<int()>& body);
+
 /// The common keys `log.level`, `log.format`, `log.file` and `threads`.
 class CommonSettings {
  public:
--- a/standin/monitor.cc
+++ b/standin/monitor.cc
@@ -152,5 +152,7 @@
 }  // namespace hemlockward::standin
 
 int main(int argc, char** argv) {
-  return hemlockward::standin::Main(argc, argv);
+  return hemlockward::kernel::RunProgram("standin-monitor", [argc, argv] {
+    return hemlockward::standin::Main(argc, argv);
+  });
 }
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -45,5 +45,7 @@
 }  // namespace hemlockward::standin
 
 int main(int argc, char** argv) {
-  return hemlockward::standin::Main(argc, argv);
+  return hemlockward::kernel::RunProgram("standin-platform", [argc, argv] {
+    return hemlockward::standin::Main(argc, argv);
+  });
 }
--- a/tests/system/outage_test.py
+++ b/tests/system/outage_test.py
@@ -1,6 +1,6 @@
 """Not-repeatable requests during a table outage, with all entries alive and with one killed.
 
-Arguments: `alive` or `killed`; the outage lasts HEMLOCKWARD_OUTAGE_S seconds
+Arguments: `alive` or `killed`, and `uuid7` or `minted` keys; the outage lasts HEMLOCKWARD_OUTAGE_S seconds
 (default 15). Alive: every request is done. Killed: nothing is lost, doubled or
 wrong, and all but the requests that were in that entry are done.
 """
@@ -18,12 +18,12 @@
 MOST_UNKNOWN = 60  # Requests that can have been in the killed entry.
 
 
-def main(case):
+def main(case, keys):
     with Cluster({"alive": 20400, "killed": 20600}[case]) as cluster:
         cluster.start("fitting.yaml", "booking.yaml")
         duration = OUTAGE_S + 2 * LEAD_S
         cluster.load(f"rate={RATE}", f"duration={duration}s", "repeatable_share=0",
-                     "not_run_retries=100", "threads=2")
+                     "not_run_retries=100", "threads=2", f"keys={keys}")
         time.sleep(LEAD_S)
         cluster.faults(cluster.platform, down=True, for_ms=OUTAGE_S * 1000)
         if case == "killed":
@@ -44,6 +44,6 @@
 
 if __name__ == "__main__":
     try:
-        main(sys.argv[1])
+        main(*sys.argv[1:])
     except Failure as failure:
         sys.exit(f"FAILED: {failure}")
