Move and reboot VMs safely under any interleaving; mend two faults of the runner

Cause: (1) our own drain shows in the lagging VM list as 'leaving' after the VM is back in service, and took it out a second time (seen in system_wave: two VMs left twice); the list is now believed only once it can be newer than the row (list_lag). (2) each step of a VM waited for the next half second and the next idle heartbeat; rounds now follow at once while changes are committed.

--- a/src/control/fleet_runner.h
+++ b/src/control/fleet_runner.h
@@ -49,14 +49,17 @@
         state_(state),
         settings_(std::move(settings)) {}
 
-  /// One round; the view was polled just before.
-  boost::asio::awaitable<void> Tick() {
+  /// One round; the view was polled just before. Returns true when a change
+  /// was committed, so that the next round may follow at once.
+  boost::asio::awaitable<bool> Tick() {
+    progressed_ = false;
     TakeFences();
-    if (fences_.empty()) co_return;
+    if (fences_.empty()) co_return false;
     co_await AdvanceVms();
     co_await AddListedVms();
     co_await CarryOutPlan();
     co_await CarryOutWaves();
+    co_return progressed_;
   }
 
  private:
@@ -107,6 +110,7 @@
   [[nodiscard]] VmFacts FactsOf(const base::VmRow& row, const Stay* stay) {
     VmFacts facts;
     facts.listed = state_.Listed(row.vm);
+    facts.list_lag = settings_.list_lag;
     if (stay == nullptr) return facts;
     facts.drained = stay->drained;
     facts.rebooted = stay->rebooted;
@@ -329,7 +333,8 @@
     for (const base::VmRow& it : rows) LogVm(it, accepted->revision);
   }
 
-  static void LogVm(const base::VmRow& row, base::Revision revision) {
+  void LogVm(const base::VmRow& row, base::Revision revision) {
+    progressed_ = true;
     base::LogLine(base::LogLevel::kInfo, "vm_state")
         .With("vm", row.vm.value)
         .With("state", base::ToText(row.state))
@@ -356,6 +361,7 @@
   EntryContacts& contacts_;
   FleetState& state_;
   RunnerSettings settings_;
+  bool progressed_ = false;
   std::map<int, Fence> fences_;
   std::map<base::VmId, Stay> stays_;
 };
--- a/src/control/fleet_state.h
+++ b/src/control/fleet_state.h
@@ -27,8 +27,9 @@
   int shards = 4;
   /// Upper bound of one call to the VM service; compared with the lease.
   base::Millis act_timeout = base::Seconds(1);
-  std::size_t most_rows = 50;  ///< Rows in one transaction.
-  base::PoolId spare_pool;     ///< A VM that no prefix matches joins it.
+  base::Millis list_lag = base::Seconds(30);  ///< Of the VM list, at most.
+  std::size_t most_rows = 50;                 ///< Rows in one transaction.
+  base::PoolId spare_pool;  ///< A VM that no prefix matches joins it.
   /// Prefix of VM ids and the pool that such VMs join first.
   std::vector<std::pair<std::string, base::PoolId>> initial_pools;
   PlannerSettings planner;
--- a/src/control/process.cc
+++ b/src/control/process.cc
@@ -147,7 +147,7 @@
       fleet.ObserveBudgets(*store.Snapshot(), runner_settings.planner.judge,
                            clock.Wall());
       co_await membership.Tick();
-      co_await runner.Tick();
+      if (co_await runner.Tick()) continue;
     }
     co_await kernel::Sleep(IsIdle() ? settings.view_poll : settings.step);
   }
@@ -211,8 +211,11 @@
     for (const std::string& it : EntryAddresses()) {
       pool.Spawn("heartbeat", BeatOne(it));
     }
-    const bool idle = IsIdle() && store.revision() > 0;
-    co_await kernel::Sleep(idle ? settings.idle_heartbeat : settings.heartbeat);
+    const Millis sent = clock.Now();
+    const Millis limit = sent + settings.idle_heartbeat;
+    do {
+      co_await kernel::Sleep(settings.heartbeat);
+    } while (IsIdle() && store.revision() > 0 && clock.Now() < limit);
   }
 }
 
--- a/src/control/settings.cc
+++ b/src/control/settings.cc
@@ -48,6 +48,8 @@
                   "time between questions to the monitor", {50}, Minutes(1));
   reader.Duration("list_poll", &settings.list_poll,
                   "time between reads of the VM list", {50}, Minutes(5));
+  reader.Duration("list_lag", &settings.list_lag,
+                  "how far the VM list may lag behind", {0}, Hours(1));
   reader.Duration("account_write", &settings.account_write,
                   "time between writes of the budget accounts", {100},
                   Minutes(10));
@@ -91,6 +93,7 @@
   RunnerSettings runner;
   runner.shards = static_cast<int>(settings.shards);
   runner.act_timeout = settings.platform_timeout;
+  runner.list_lag = settings.list_lag;
   runner.spare_pool = base::PoolId(settings.spare_pool);
   for (const std::string& it : settings.initial_pools) {
     const std::size_t equals = it.find('=');
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -33,6 +33,7 @@
   base::Millis step{500};
   base::Millis verdict_poll = base::Seconds(1);
   base::Millis list_poll = base::Seconds(2);
+  base::Millis list_lag = base::Seconds(30);
   base::Millis account_write = base::Seconds(30);
   base::Millis max_skew{500};
   base::Millis key_lifetime = base::Minutes(10);
--- a/src/control/vm_steps.cc
+++ b/src/control/vm_steps.cc
@@ -63,6 +63,10 @@
   switch (row.state) {
     case VmState::kMember:
       if (facts.listed != ListedState::kLeaving) return Wait("in service");
+      if (now - row.changed < facts.list_lag) {
+        return Wait(
+            "listed as leaving, but the list may be older than its row");
+      }
       return WriteState(row, VmState::kLeaving, now, "listed as leaving");
     case VmState::kLeaving:
       if (!facts.without_work) return Wait("requests may still reach it");
--- a/src/control/vm_steps.h
+++ b/src/control/vm_steps.h
@@ -23,6 +23,8 @@
   bool drained = false;
   bool rebooted = false;
   std::optional<platform::ListedState> listed;  ///< Empty: not in the list.
+  /// The list may still show what our own drain of this VM made of it.
+  base::Millis list_lag = base::Seconds(30);
 };
 
 /// What to do next with a VM.
