--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -134,14 +134,20 @@
         for name in ENTRIES:
             self.start_entry(name)
         for name, address in self.controls.items():
-            wait_for(f"{name} is ready", lambda: call("GET", address, "/readyz")[0] == 200)
+            self.wait_ready(name, address)
         for name in documents:
             self.apply(self.settings(name))
         for name, address in self.entries.items():
-            wait_for(f"{name} is ready", lambda: call("GET", address, "/readyz")[0] == 200, 40)
-        # A port in use would let another run's process answer in place of ours.
-        for name, process in self.processes.items():
-            check(process.poll() is None, f"{name} has ended; see {self.dir / name}.log")
+            self.wait_ready(name, address, 40)
+
+    def wait_ready(self, name, address, limit_s=20.0):
+        """Waits for /readyz. Fails at once when a process has ended: with a port in use,
+        another run's process would answer in place of ours."""
+        def ready():
+            for each, process in self.processes.items():
+                check(process.poll() is None, f"{each} has ended; see {self.dir / each}.log")
+            return call("GET", address, "/readyz")[0] == 200
+        wait_for(f"{name} is ready", ready, limit_s)
 
     def ctl(self, *arguments, expect=0):
         """Runs hemlockctl and returns its standard output."""
--- a/tests/system/outage_test.py
+++ b/tests/system/outage_test.py
@@ -15,7 +15,9 @@
 OUTAGE_S = int(os.environ.get("HEMLOCKWARD_OUTAGE_S", "15"))
 RATE = 100
 LEAD_S = 3
-MOST_UNKNOWN = 60  # Requests that can have been in the killed entry.
+# Requests of the killed entry: those in it, and those whose keys were made
+# before its death was surely known to the others.
+MOST_UNKNOWN = 60
 
 
 def main(case, keys):
