--- a/tests/control_fakes.h
+++ b/tests/control_fakes.h
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <exception>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -45,16 +47,20 @@
   std::map<std::string, platform::Row> rows;
   std::map<std::string, platform::RowVersion> nonces;
   platform::RowVersion newest = 0;
-  TableFault next = TableFault::kNone;    ///< For the next call only.
-  TableFault always = TableFault::kNone;  ///< For every call.
-  int transactions = 0;
+  TableFault next = TableFault::kNone;          ///< For the next call only.
+  TableFault always = TableFault::kNone;        ///< For every call.
+  TableFault on_transact = TableFault::kNone;   ///< Next transaction only.
+  TableFault on_transacts = TableFault::kNone;  ///< Every transaction.
+  bool forgets_nonces = false;
+  std::function<void()> before_transact;  ///< Another writer gets in first.
 
   platform::Result<platform::Committed> Transact(platform::Transaction t) {
-    ++transactions;
-    const TableFault fault = Take();
+    if (before_transact) before_transact();
+    const TableFault fault = TakeForTransact();
     if (fault == TableFault::kDown) co_return Failed(Kind::kUnavailable);
     if (fault == TableFault::kLostEarly) co_return Failed(Kind::kUnknown);
     if (const auto it = nonces.find(t.nonce); it != nonces.end()) {
+      if (fault == TableFault::kLost) co_return Failed(Kind::kUnknown);
       co_return platform::Committed{it->second};
     }
     for (const platform::Condition& it : t.conditions) {
@@ -68,7 +74,7 @@
         rows[it.key] = {it.key, newest, it.value};
       }
     }
-    nonces[t.nonce] = newest;
+    if (!forgets_nonces) nonces[t.nonce] = newest;
     if (fault == TableFault::kLost) co_return Failed(Kind::kUnknown);
     co_return platform::Committed{newest};
   }
@@ -113,6 +119,12 @@
     next = TableFault::kNone;
     return fault;
   }
+  TableFault TakeForTransact() {
+    const TableFault general = Take();
+    if (general != TableFault::kNone) return general;
+    const TableFault once = std::exchange(on_transact, TableFault::kNone);
+    return on_transacts == TableFault::kNone ? once : on_transacts;
+  }
   static tl::unexpected<platform::TableError> Failed(Kind kind) {
     return tl::unexpected(platform::TableError{kind, "fault"});
   }
