--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -144,6 +144,7 @@
 class EntryTest : public testing::Test {
  protected:
   static constexpr base::Millis kLease{800};
+  static constexpr std::size_t kMostEntries = 8;
 
   EntryTest()
       : pool_(2),
@@ -152,6 +153,7 @@
         platform_address_(FreeAddress()),
         first_door_address_(FreeAddress()),
         table_(client_, {platform_address_, base::Seconds(2), 2}) {
+    entries_.reserve(kMostEntries);  // Callers index it while one is added.
     StartPlatform();
     thread_ = std::jthread([this] { pool_.Run(); });
   }
