Fake table: take the hook out before calling it

Cause: control_writer_test crashed (SIGSEGV in CheckAndCommitAreOneStep): the hook cleared the std::function it was running from and then used its captures. Ruled out: a fault in ChangeWriter (the backtrace ends in the test's lambda). Conclusion: the fake takes the hook out first; the test's checks are unchanged.

No functional change

--- a/tests/control_fakes.h
+++ b/tests/control_fakes.h
@@ -52,10 +52,12 @@
   TableFault on_transact = TableFault::kNone;   ///< Next transaction only.
   TableFault on_transacts = TableFault::kNone;  ///< Every transaction.
   bool forgets_nonces = false;
-  std::function<void()> before_transact;  ///< Another writer gets in first.
+  std::function<void()>
+      before_transact;  ///< Called once: another writer gets in first.
 
   platform::Result<platform::Committed> Transact(platform::Transaction t) {
-    if (before_transact) before_transact();
+    const auto other_writer = std::exchange(before_transact, nullptr);
+    if (other_writer) other_writer();
     const TableFault fault = TakeForTransact();
     if (fault == TableFault::kDown) co_return Failed(Kind::kUnavailable);
     if (fault == TableFault::kLostEarly) co_return Failed(Kind::kUnknown);
