--- a/tests/system/wave_test.py
+++ b/tests/system/wave_test.py
@@ -27,7 +27,7 @@
         cluster.start("fitting.yaml", "booking.yaml")
         cluster.load(f"rate={RATE}", f"duration={LOAD_S}s", "threads=2")
         time.sleep(1)
-        cluster.ctl("wave", "start", "all")
+        cluster.ctl("wave", "start", "all", "fitting", "booking")
         wait_for("a VM is rebooted", lambda: sum(reboots(cluster).values()) > 0, 30)
         # Both lead some pools; the first one's are taken over.
         cluster.signal(CONTROLS[0], signal.SIGKILL)
