--- a/src/entry/loans.cc
+++ b/src/entry/loans.cc
@@ -68,8 +68,9 @@
   std::ranges::sort(addresses);
   const std::size_t first =
       base::StableHash(self_.entry.value) % addresses.size();
-  std::ranges::rotate(addresses,
-                      addresses.begin() + static_cast<std::ptrdiff_t>(first));
+  std::rotate(addresses.begin(),
+              addresses.begin() + static_cast<std::ptrdiff_t>(first),
+              addresses.end());
   return addresses;
 }
 
