--- a/src/entry/loans.cc
+++ b/src/entry/loans.cc
@@ -24,6 +24,7 @@
 
 std::vector<SlotGrant> ToGrants(const std::map<std::string, std::int32_t>& by) {
   std::vector<SlotGrant> grants;
+  grants.reserve(by.size());
   for (const auto& [vm, tokens] : by) {
     grants.push_back({base::VmId(vm), tokens});
   }
