--- a/tests/wave_test.cc
+++ b/tests/wave_test.cc
@@ -131,6 +131,15 @@
       NextWaveSteps(view, bench::AllUp(view, open), {}, {}, {}, open).empty());
 }
 
+TEST(Wave, APoolWithoutDocumentsIsMaintainedToo) {
+  base::FleetView view = FleetWithWave({{.name = "a", .vms = 2}});
+  view.documents.clear();
+  const Verdicts verdicts = bench::AllUp(view, kNow);
+  EXPECT_EQ(OneStep(view, verdicts).take_out.size(), 1U);
+  MarkDone(view, 1);
+  EXPECT_EQ(OneStep(view, verdicts).take_out.size(), 1U);
+}
+
 TEST(Wave, WithoutVerdictsNothingIsTakenOut) {
   base::FleetView view = FleetWithWave(TwoPools());
   MarkDone(view, 2);
