--- a/src/control/pool_room.cc
+++ b/src/control/pool_room.cc
@@ -23,8 +23,14 @@
       spread_racks_(pool.need.spread_racks),
       spread_zones_(pool.need.spread_zones) {
   const int size = static_cast<int>(pool.vms.size());
-  if (pool.need.services == 0)
+  if (pool.need.services == 0) {
+    // No budget rests on it, so it need not survive a failure meanwhile; else
+    // a spare pool of two could never be maintained.
     floor_ = size - std::max(1, size / kUnclaimedShare);
+    racks_to_survive_ = 0;
+    spread_racks_ = 0;
+    spread_zones_ = 0;
+  }
   const double expected =
       ExpectedDemand(demand, pool.pool, now, settings.cycle);
   // A pool that is asked for more than it has still lets one VM go at a time.
@@ -55,7 +61,8 @@
   const auto most = std::max_element(up_by_rack_.begin(), up_by_rack_.end());
   racks_with_.assign(most == up_by_rack_.end() ? 1 : *most + 1, 0);
   for (const int it : up_by_rack_) ++racks_with_[it];
-  survives_zone_ = standing - worst_zone - 1 >= floor_;
+  survives_zone_ =
+      pool.need.services > 0 && standing - worst_zone - 1 >= floor_;
 }
 
 // A service whose budget is nearly used up must survive two racks.
