--- a/tests/control_cluster.h
+++ b/tests/control_cluster.h
@@ -180,7 +180,8 @@
           vms(handle, c.nonces_, [&c](const auto& vm) { c.OnReboot(vm); }),
           poller(handle, c.clock_, store),
           writer(handle, store, static_cast<std::uint64_t>(id) + 1),
-          leases(handle, c.clock_, LeaseOf(id), static_cast<std::uint64_t>(id)),
+          leases(handle, c.clock_, LeaseOf(id),
+                 static_cast<std::uint64_t>(id) + 100),
           contacts(kViewLease),
           runner(handle, vms, c.clock_, store, writer, leases, contacts, state,
                  Settings()) {}
