--- a/src/control/pool_room.cc
+++ b/src/control/pool_room.cc
@@ -24,8 +24,7 @@
       spread_zones_(pool.need.spread_zones) {
   const int size = static_cast<int>(pool.vms.size());
   if (pool.need.services == 0) {
-    // No budget rests on it, so it need not survive a failure meanwhile; else
-    // a spare pool of two could never be maintained.
+    // No service needs it: only a part goes at once, whatever else may fail.
     floor_ = size - std::max(1, size / kUnclaimedShare);
     racks_to_survive_ = 0;
     spread_racks_ = 0;
@@ -61,8 +60,7 @@
   const auto most = std::max_element(up_by_rack_.begin(), up_by_rack_.end());
   racks_with_.assign(most == up_by_rack_.end() ? 1 : *most + 1, 0);
   for (const int it : up_by_rack_) ++racks_with_[it];
-  survives_zone_ =
-      pool.need.services > 0 && standing - worst_zone - 1 >= floor_;
+  survives_zone_ = racks_to_survive_ > 0 && standing - worst_zone - 1 >= floor_;
 }
 
 // A service whose budget is nearly used up must survive two racks.
