Control plans over the whole fleet every 3 s, not every 500 ms

Cause: planning, judging and waves ran in every 500 ms step. The entry's view lease defaults to 2.5 s as documented, it was 3 s.

--- a/src/control/fleet_runner.h
+++ b/src/control/fleet_runner.h
@@ -57,8 +57,10 @@
     if (fences_.empty()) co_return false;
     co_await AdvanceVms();
     co_await AddListedVms();
-    co_await CarryOutPlan();
-    co_await CarryOutWaves();
+    if (IsPlanDue()) {
+      co_await CarryOutPlan();
+      co_await CarryOutWaves();
+    }
     co_return progressed_;
   }
 
@@ -86,6 +88,16 @@
     }
   }
 
+  // Planning looks at the whole fleet; steps under way don't wait for it.
+  bool IsPlanDue() {
+    const base::Millis now = clock_.Now();
+    if (planned_at_ && now - *planned_at_ < settings_.plan_interval) {
+      return false;
+    }
+    planned_at_ = now;
+    return true;
+  }
+
   [[nodiscard]] const Fence* FenceOf(const base::PoolId& pool) const {
     const auto it = fences_.find(ShardOf(pool, settings_.shards));
     return it == fences_.end() ? nullptr : &it->second;
@@ -364,6 +376,7 @@
   bool progressed_ = false;
   std::map<int, Fence> fences_;
   std::map<base::VmId, Stay> stays_;
+  std::optional<base::Millis> planned_at_;
 };
 
 }  // namespace hemlockward::control
--- a/src/control/fleet_state.h
+++ b/src/control/fleet_state.h
@@ -32,6 +32,8 @@
   base::PoolId spare_pool;  ///< A VM that no prefix matches joins it.
   /// Prefix of VM ids and the pool that such VMs join first.
   std::vector<std::pair<std::string, base::PoolId>> initial_pools;
+  /// Least time between two plans of moves and waves over the whole fleet.
+  base::Millis plan_interval{0};
   PlannerSettings planner;
   WaveSettings wave;
 
--- a/src/control/settings.cc
+++ b/src/control/settings.cc
@@ -44,6 +44,9 @@
                   "limit of one call to the platform", {20}, Seconds(30));
   reader.Duration("step", &settings.step, "time between two rounds", {20},
                   Minutes(1));
+  reader.Duration("plan", &settings.plan,
+                  "least time between two plans of moves and waves", {20},
+                  Minutes(1));
   reader.Duration("verdict_poll", &settings.verdict_poll,
                   "time between questions to the monitor", {50}, Minutes(1));
   reader.Duration("list_poll", &settings.list_poll,
@@ -108,6 +111,7 @@
   JudgeSettings judge;
   judge.verdict_lifetime = settings.verdict_lifetime;
   judge.max_skew = settings.max_skew;
+  runner.plan_interval = settings.plan;
   runner.planner.judge = judge;
   runner.planner.reserve.spare_pool = runner.spare_pool;
   runner.planner.replace_after = settings.replace_after;
--- a/src/control/settings.h
+++ b/src/control/settings.h
@@ -31,6 +31,7 @@
   base::Millis shard_lease = base::Seconds(6);
   base::Millis platform_timeout = base::Seconds(1);
   base::Millis step{500};
+  base::Millis plan = base::Seconds(3);  ///< Between two plans.
   base::Millis verdict_poll = base::Seconds(1);
   base::Millis list_poll = base::Seconds(2);
   base::Millis list_lag = base::Seconds(30);
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -20,7 +20,7 @@
       peers;  ///< Addresses known before the table is read.
 
   base::Millis view_poll{500};    ///< Between reads of the change log.
-  base::Millis view_lease{3000};  ///< Age at which a view may not be used.
+  base::Millis view_lease{2500};  ///< Age at which a view may not be used.
   base::Millis heartbeat{250};    ///< Between heartbeats to each peer.
   base::Millis platform_timeout{2000};  ///< For one call to the platform.
   base::Millis peer_timeout{1000};      ///< For one heartbeat or delta call.
