--- a/src/control/process.cc
+++ b/src/control/process.cc
@@ -62,11 +62,13 @@
   State(kernel::WorkerPool& pool, ControlSettings with, RunnerSettings runner);
 
   asio::awaitable<void> HoldShards();
+  void ObserveBudgetsIfDue();
   asio::awaitable<void> Step();
   asio::awaitable<void> PollMonitor();
   asio::awaitable<void> PollList();
   asio::awaitable<void> Beat();
   asio::awaitable<void> BeatOne(std::string address);
+  asio::awaitable<void> PushTo(std::string address, base::Revision held);
   asio::awaitable<void> KeepAccounts();
   asio::awaitable<void> FinishStop();
   asio::awaitable<gen::Message> AnswerPeer(gen::Message call);
@@ -97,6 +99,7 @@
   AccountKeeper<Table, Clock> accounts;
   TableOperations operations;
   RouteContext context;
+  std::optional<base::Millis> judged_at;
   std::unique_ptr<peer::PeerServer> peer_server;
   std::unique_ptr<kernel::HttpServer> http_server;
 };
@@ -136,6 +139,16 @@
 
 // The view is polled here as well as in every round, so that each round starts
 // from the newest head. Without the table nothing new is taken out.
+// Judging looks at the whole fleet; nothing new is known between two polls of
+// the monitor.
+void ControlProcess::State::ObserveBudgetsIfDue() {
+  const base::Millis now = clock.Now();
+  if (judged_at && now - *judged_at < settings.verdict_poll) return;
+  judged_at = now;
+  fleet.ObserveBudgets(*store.Snapshot(), runner_settings.planner.judge,
+                       clock.Wall());
+}
+
 asio::awaitable<void> ControlProcess::State::Step() {
   while (!stopping) {
     const auto polled = co_await poller.PollOnce();
@@ -144,8 +157,7 @@
       fleet.OnDemand(*store.Snapshot(),
                      contacts.Demand(clock.Now(), kDemandLifetime),
                      clock.Wall());
-      fleet.ObserveBudgets(*store.Snapshot(), runner_settings.planner.judge,
-                           clock.Wall());
+      ObserveBudgetsIfDue();
       co_await membership.Tick();
       if (co_await runner.Tick()) continue;
     }
@@ -201,9 +213,27 @@
 asio::awaitable<void> ControlProcess::State::BeatOne(std::string address) {
   const gen::Message message = OwnHeartbeat();
   const auto answer =
-      co_await peers.Call(std::move(address), message, settings.view_lease);
+      co_await peers.Call(address, message, settings.view_lease);
   if (!answer || !answer->__isset.heartbeat_reply) co_return;
   contacts.OnReply(answer->heartbeat_reply, clock.Now());
+  const auto held =
+      static_cast<base::Revision>(answer->heartbeat_reply.revision);
+  if (held < store.revision()) co_await PushTo(std::move(address), held);
+}
+
+// Brings an entry up to our view without the table's help. It needs no answer:
+// the next heartbeat shows what arrived.
+asio::awaitable<void> ControlProcess::State::PushTo(std::string address,
+                                                    base::Revision held) {
+  gen::DeltaRequest request;
+  request.__set_from_revision(static_cast<std::int64_t>(held));
+  gen::DeltaReply records;
+  peer::FillDeltaReply(store, request, records);
+  if (records.records.empty()) co_return;  // Too far behind for records.
+  records.__isset.records = true;
+  gen::Message message;
+  message.__set_delta_reply(records);
+  co_await peers.Call(std::move(address), message, settings.view_lease);
 }
 
 asio::awaitable<void> ControlProcess::State::Beat() {
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -146,6 +146,16 @@
   }
 }
 
+// A control process pushes what it committed, in case the table fails before
+// we read it. Records that don't follow our revision are ignored.
+void Peers::TakePushed(const gen::DeltaReply& pushed) {
+  if (!peer::ApplyDeltaReply(view_, pushed)) return;
+  base::LogLine(base::LogLevel::kInfo, "view_from_peer")
+      .With("peer", "control")
+      .With("revision", view_.revision());
+  on_view_();
+}
+
 gen::Message Peers::Answer(const gen::Message& call) {
   gen::Message answer;
   if (call.__isset.delta_request) {
@@ -156,7 +166,11 @@
     answer.__set_delta_reply(reply);
     return answer;
   }
-  if (!call.__isset.heartbeat) return peer::ErrorMessage("unknown message");
+  if (call.__isset.delta_reply) {
+    TakePushed(call.delta_reply);
+  } else if (!call.__isset.heartbeat) {
+    return peer::ErrorMessage("unknown message");
+  }
   EntryStatus own = status_();
   gen::HeartbeatReply reply;
   reply.__set_sender(options_.self.entry.value);
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -76,6 +76,7 @@
   std::set<std::string> Addresses() const;
   boost::asio::awaitable<void> Beat(std::string address);
   boost::asio::awaitable<void> Exchange(std::string address);
+  void TakePushed(const peer::gen::DeltaReply& pushed);
   boost::asio::awaitable<void> FetchFrom(std::string address);
 
   kernel::WorkerPool& pool_;
