A freshly listed VM may move at once

Cause: raising a team's size moved nothing for 30 min after the VMs were first listed: the planner's settle time, meant against flapping, counted from the first listing. Ruled out: need and reserve (the deficit was seen). Change: a VM that was only listed carries changed = 0.

--- a/src/base/fleet.h
+++ b/src/base/fleet.h
@@ -43,7 +43,8 @@
   ZoneId zone;
   RackId rack;
   std::string address;   ///< `IP:port` of its worker.
-  WallMillis changed{};  ///< When the row was last written, for accounts only.
+  WallMillis changed{};  ///< When its state last changed; 0: never since it was
+                         ///< first listed.
   std::string reason;    ///< Why it is in this state, for operators.
 };
 
--- a/src/control/fleet_runner.h
+++ b/src/control/fleet_runner.h
@@ -260,7 +260,7 @@
       const base::PoolId pool = settings_.FirstPool(it.vm);
       const Fence* fence = FenceOf(pool);
       if (fence == nullptr) continue;
-      added.push_back(NewVmRow(it, pool, clock_.Wall()));
+      added.push_back(NewVmRow(it, pool));
       fences.emplace(fence->shard, *fence);
       const std::string key = "vm/" + it.vm.value;
       change.conditions.push_back({key, 0});
--- a/src/control/vm_steps.cc
+++ b/src/control/vm_steps.cc
@@ -110,15 +110,13 @@
   return next;
 }
 
-VmRow NewVmRow(const platform::ListedVm& listed, const base::PoolId& pool,
-               base::WallMillis now) {
+VmRow NewVmRow(const platform::ListedVm& listed, const base::PoolId& pool) {
   VmRow row;
   row.vm = listed.vm;
   row.pool = pool;
   row.zone = listed.zone;
   row.rack = listed.rack;
   row.address = listed.address;
-  row.changed = now;
   row.reason = "listed for the first time";
   return row;
 }
--- a/src/control/vm_steps.h
+++ b/src/control/vm_steps.h
@@ -50,8 +50,8 @@
                                  const base::VmRow& row, base::WallMillis now);
 
 /// The row of a VM that the list shows for the first time.
-base::VmRow NewVmRow(const platform::ListedVm& listed, const base::PoolId& pool,
-                     base::WallMillis now);
+base::VmRow NewVmRow(const platform::ListedVm& listed,
+                     const base::PoolId& pool);
 
 /// The nonce of an act on a VM. It comes from the version of the row that
 /// holds the intent, so that every holder of the shard uses the same one.
--- a/tests/planner_test.cc
+++ b/tests/planner_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "bench/fleet_builder.h"
+#include "control/vm_steps.h"
 
 namespace hemlockward::control {
 namespace {
@@ -51,6 +52,24 @@
   EXPECT_FALSE(decisions[0].reason.empty());
 }
 
+TEST(Planner, AFreshlyListedSpareVmMovesAtOnce) {
+  base::FleetView view = bench::MakeFleet(WithSpare(10, 10, 10), 3);
+  for (auto& [vm, row] : view.vms) {
+    platform::ListedVm listed;
+    listed.vm = vm;
+    listed.zone = row.zone;
+    listed.rack = row.rack;
+    row = NewVmRow(listed, row.pool);
+  }
+  for (auto& [team, document] : view.documents) {
+    if (document.pool.value == "a") document.min_size = 11;
+  }
+  const auto decisions = Plan(view, bench::AllUp(view, {kNow.count + 1000}), {},
+                              Settings(), {kNow.count + 2000});
+  ASSERT_EQ(decisions.size(), 1U);
+  EXPECT_EQ(decisions[0].destination.value, "a");
+}
+
 TEST(Planner, ABrokenFloorComesBeforeALargerDeficit) {
   std::vector<bench::PoolPlan> plans = WithSpare(10, 5, 5);
   plans[1].healthy_share = 0.5;
