One parser for addresses, checked in the settings; thin daemons share RunProgram

Cause: reading through showed the same address parser in http.cc and transport.cc, which took '80x' as port 80 and wrapped ports over 65,535, and an address that wasn't one was found only at bind time. Change: base/address, a settings kind for addresses, kernel/endpoint; both daemons end through kernel::RunProgram as the stand-ins do.

--- a/daemons/control.cc
+++ b/daemons/control.cc
@@ -1,5 +1,4 @@
 // hemlockward-control: operators' API, pools, moves, waves and budgets.
-#include <exception>
 #include <iostream>
 
 #include "control/process.h"
@@ -7,33 +6,39 @@
 #include "kernel/program.h"
 #include "kernel/worker_pool.h"
 
-int main(int argc, char** argv) {
-  using namespace hemlockward;  // NOLINT(google-build-using-namespace)
-  constexpr std::string_view kProgram = "hemlockward-control";
+namespace hemlockward::control {
+namespace {
+
+constexpr std::string_view kProgram = "hemlockward-control";
+
+int Main(int argc, char** argv) {
   base::SettingsReader reader;
   kernel::CommonSettings common;
-  control::ControlSettings settings;
+  ControlSettings settings;
   common.Bind(reader);
-  control::Bind(settings, reader);
+  Bind(settings, reader);
   const auto code = kernel::ReadProgramSettings(argc, argv, kProgram, reader);
   if (code && *code != 0) return *code;
   base::Findings findings;
-  control::RunnerSettings runner =
-      control::MakeRunnerSettings(settings, findings);
+  RunnerSettings runner = MakeRunnerSettings(settings, findings);
   if (!findings.empty()) {
     std::cerr << findings.ToText();
     return 1;
   }
   if (code) return *code;
   if (!common.Apply(kProgram)) return 1;
-  try {
-    kernel::WorkerPool pool(common.threads());
-    control::ControlProcess process(pool, settings, std::move(runner));
-    kernel::OnStopSignal(pool, [&process] { process.BeginStop(); });
-    pool.Run();
-  } catch (const std::exception& e) {
-    std::cerr << kProgram << ": " << e.what() << '\n';
-    return 1;
-  }
+  kernel::WorkerPool pool(common.threads());
+  ControlProcess process(pool, settings, std::move(runner));
+  kernel::OnStopSignal(pool, [&process] { process.BeginStop(); });
+  pool.Run();
   return 0;
 }
+
+}  // namespace
+}  // namespace hemlockward::control
+
+int main(int argc, char** argv) {
+  return hemlockward::kernel::RunProgram(
+      hemlockward::control::kProgram,
+      [argc, argv] { return hemlockward::control::Main(argc, argv); });
+}
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -8,6 +8,8 @@
 #include <sstream>
 #include <utility>
 
+#include "base/address.h"
+
 namespace hemlockward::base {
 
 namespace {
@@ -67,6 +69,11 @@
   Add(std::move(key), {Kind::kText, target, std::move(help), need});
 }
 
+void SettingsReader::Address(std::string key, std::string* target,
+                             std::string help, Need need) {
+  Add(std::move(key), {Kind::kAddress, target, std::move(help), need});
+}
+
 void SettingsReader::TextList(std::string key, std::vector<std::string>* target,
                               std::string help, Need need) {
   Add(std::move(key), {Kind::kTextList, target, std::move(help), need});
@@ -122,6 +129,15 @@
       case Kind::kText:
         *static_cast<std::string*>(key.target) = text;
         return;
+      case Kind::kAddress: {
+        const auto address = ParseAddress(text);
+        if (!address) {
+          return findings.Add(place, "'" + name + "' can't be '" + text + "'",
+                              address.error());
+        }
+        *static_cast<std::string*>(key.target) = text;
+        return;
+      }
       case Kind::kTextList:
         static_cast<std::vector<std::string>*>(key.target)->push_back(text);
         return;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -25,6 +25,9 @@
 
   void Text(std::string key, std::string* target, std::string help,
             Need need = Need::kOptional);
+  /// `IP:port`; see ParseAddress.
+  void Address(std::string key, std::string* target, std::string help,
+               Need need = Need::kOptional);
   void TextList(std::string key, std::vector<std::string>* target,
                 std::string help, Need need = Need::kOptional);
   void Integer(std::string key, std::int64_t* target, std::string help,
@@ -46,6 +49,7 @@
  private:
   enum class Kind : std::uint8_t {
     kText,
+    kAddress,
     kTextList,
     kInteger,
     kReal,
--- a/src/control/settings.cc
+++ b/src/control/settings.cc
@@ -14,13 +14,14 @@
   reader.Text("id", &settings.id, "unique name of this process", kRequired);
   reader.Text("zone", &settings.zone, "availability zone of this VM",
               kRequired);
-  reader.Text("listen", &settings.listen, "IP:port for operators", kRequired);
-  reader.Text("peer_listen", &settings.peer_listen,
-              "IP:port for hemlockward's own processes; empty: none");
-  reader.Text("platform", &settings.platform, "IP:port of the platform",
-              kRequired);
-  reader.Text("monitor", &settings.monitor, "IP:port of the monitoring group",
-              kRequired);
+  reader.Address("listen", &settings.listen, "IP:port for operators",
+                 kRequired);
+  reader.Address("peer_listen", &settings.peer_listen,
+                 "IP:port for hemlockward's own processes; empty: none");
+  reader.Address("platform", &settings.platform, "IP:port of the platform",
+                 kRequired);
+  reader.Address("monitor", &settings.monitor,
+                 "IP:port of the monitoring group", kRequired);
   reader.Text("spare_pool", &settings.spare_pool,
               "pool of VMs that no prefix matches");
   reader.TextList("initial_pools", &settings.initial_pools,
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -16,11 +16,11 @@
               kRequired);
   reader.Text("zone", &settings.zone, "availability zone of this VM",
               kRequired);
-  reader.Text("listen", &settings.listen, "IP:port for callers", kRequired);
-  reader.Text("peer_listen", &settings.peer_listen,
-              "IP:port for hemlockward's own processes", kRequired);
-  reader.Text("platform", &settings.platform, "IP:port of the platform",
-              kRequired);
+  reader.Address("listen", &settings.listen, "IP:port for callers", kRequired);
+  reader.Address("peer_listen", &settings.peer_listen,
+                 "IP:port for hemlockward's own processes", kRequired);
+  reader.Address("platform", &settings.platform, "IP:port of the platform",
+                 kRequired);
   reader.TextList("peers", &settings.peers,
                   "IP:port of peers known before the table is read");
 }
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -18,7 +18,8 @@
 #include <map>
 #include <mutex>
 #include <sstream>
-#include <stdexcept>
+
+#include "kernel/endpoint.h"
 
 namespace hemlockward::kernel {
 
@@ -38,17 +39,6 @@
   return {};
 }
 
-tcp::endpoint ParseAddress(std::string_view address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
-    throw std::invalid_argument("address without a port: " +
-                                std::string(address));
-  }
-  const std::string host(address.substr(0, colon));
-  const int port = std::stoi(std::string(address.substr(colon + 1)));
-  return {asio::ip::make_address(host), static_cast<std::uint16_t>(port)};
-}
-
 auto Redirect(error_code& ec) {
   return asio::redirect_error(asio::use_awaitable, ec);
 }
@@ -297,7 +287,7 @@
 HttpServer::HttpServer(WorkerPool& pool, std::string_view address,
                        HttpLimits limits, HttpHandler handler)
     : state_(std::make_shared<State>(pool, limits, std::move(handler))) {
-  state_->Listen(ParseAddress(address));
+  state_->Listen(ParseEndpoint(address));
   asio::co_spawn(
       state_->acceptor.get_executor(),
       [state = state_] { return state->AcceptLoop(); },
@@ -407,7 +397,7 @@
   const base::Millis deadline = clock.Now() + timeout;
   if (!connected) {
     stream->expires_after(std::min(timeout, kConnectTimeout).ToChrono());
-    co_await stream->async_connect(ParseAddress(address), Redirect(ec));
+    co_await stream->async_connect(ParseEndpoint(address), Redirect(ec));
     if (ec) {
       co_return tl::unexpected(HttpError{HttpFailure::kNotSent, ec.message()});
     }
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -19,6 +19,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "kernel/endpoint.h"
 #include "peer/gen/peer_types.h"
 
 namespace hemlockward::peer {
@@ -46,18 +47,6 @@
   return asio::redirect_error(asio::use_awaitable, ec);
 }
 
-// Throws when the address isn't `IP:port`.
-tcp::endpoint ParseAddress(std::string_view address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
-    throw std::invalid_argument("address without a port: " +
-                                std::string(address));
-  }
-  const std::string host(address.substr(0, colon));
-  const int port = std::stoi(std::string(address.substr(colon + 1)));
-  return {asio::ip::make_address(host), static_cast<std::uint16_t>(port)};
-}
-
 std::array<std::uint8_t, kLengthBytes> LengthPrefix(std::size_t n) {
   return {static_cast<std::uint8_t>(n >> 24),
           static_cast<std::uint8_t>(n >> 16), static_cast<std::uint8_t>(n >> 8),
@@ -241,7 +230,7 @@
 PeerServer::PeerServer(kernel::WorkerPool& pool, std::string_view address,
                        PeerHandler handler)
     : state_(std::make_shared<State>(pool, std::move(handler))) {
-  const tcp::endpoint endpoint = ParseAddress(address);
+  const tcp::endpoint endpoint = kernel::ParseEndpoint(address);
   state_->acceptor.open(endpoint.protocol());
   state_->acceptor.set_option(asio::socket_base::reuse_address(true));
   state_->acceptor.bind(endpoint);
@@ -316,7 +305,7 @@
   error_code ec;
   connection->SetDeadline(timeout);
   if (!connection->socket.is_open()) {
-    co_await connection->socket.async_connect(ParseAddress(address),
+    co_await connection->socket.async_connect(kernel::ParseEndpoint(address),
                                               Redirect(ec));
     if (ec) {
       connection->ClearDeadline();
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -3,6 +3,7 @@
 
 #include <fstream>
 
+#include "base/address.h"
 #include "base/fleet.h"
 #include "base/log.h"
 #include "base/metrics.h"
@@ -62,6 +63,20 @@
   EXPECT_EQ(listen, "127.0.0.1:1");
 }
 
+TEST(Settings, AddressesAreChecked) {
+  for (const char* it : {"", ":1", "host:80", "10.0.0.1", "10.0.0.1:",
+                         "10.0.0.1:80x", "10.0.0.1:65536", "10.0.0.1:-1"}) {
+    EXPECT_FALSE(base::ParseAddress(it)) << it;
+  }
+  EXPECT_EQ(base::ParseAddress("10.0.0.1:80")->port, 80);
+  EXPECT_EQ(base::ParseAddress("[::1]:8080")->host, "::1");
+  std::string listen = "1.2.3.4:5";
+  base::SettingsReader reader;
+  reader.Address("listen", &listen, "address");
+  EXPECT_EQ(reader.Load("", {"listen=localhost:80"}).items().size(), 1U);
+  EXPECT_EQ(listen, "1.2.3.4:5");
+}
+
 TEST(Metrics, QuantileComesFromTheDistribution) {
   base::Metrics metrics;
   for (int i = 1; i <= 100; ++i) metrics.Observe("wait", "", i);
