--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,16 +1,17 @@
 #!/usr/bin/env bash
-# Runs all tests of the release build. A test listed in KNOWN-RED.txt may fail; it is run and printed.
-# Usage: check.sh [build directory]
+# Runs the tests of a build (default: release). A test listed in KNOWN-RED.txt may fail; it is run and printed.
+# Usage: check.sh [build directory [ctest options]]
 set -uo pipefail
 cd "$(dirname "$0")/.."
 build="${1:-build/release}"
+shift || true
 known=()
 if [ -f KNOWN-RED.txt ]; then
   mapfile -t known < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
 fi
 exclude='^$'
 if [ "${#known[@]}" -gt 0 ]; then exclude="^($(IFS='|'; echo "${known[*]}"))$"; fi
-ctest --test-dir "$build" --output-on-failure -j 4 -E "$exclude" || exit 1
+ctest --test-dir "$build" --output-on-failure -j 4 -E "$exclude" "$@" || exit 1
 for it in "${known[@]}"; do
   echo "known red: $it"
   ctest --test-dir "$build" -R "^$it$" || true
