--- a/src/base/fleet.h
+++ b/src/base/fleet.h
@@ -43,8 +43,7 @@
   ZoneId zone;
   RackId rack;
   std::string address;   ///< `IP:port` of its worker.
-  WallMillis changed{};  ///< When its state last changed; 0: never since it was
-                         ///< first listed.
+  WallMillis changed{};  ///< When its state last changed; 0: only listed.
   std::string reason;    ///< Why it is in this state, for operators.
 };
 
--- a/src/control/planner.cc
+++ b/src/control/planner.cc
@@ -88,6 +88,8 @@
  private:
   void WeighPool(const PoolHealth& pool, const PoolReserve& reserve);
   int WaveWidthWanted(const PoolHealth& pool) const;
+  [[nodiscard]] bool IsSettled(const PoolHealth& pool,
+                               const base::VmRow& row) const;
   void AddCandidates(Balance& balance);
   bool GiveOne(Balance& giver, Balance& taker);
   void Fill(Balance& taker, int left, const std::vector<Balance*>& givers);
@@ -170,12 +172,21 @@
   balances_.push_back(std::move(balance));
 }
 
+// Settling keeps a VM from going to and fro. One that was only listed so far
+// may go at once, but not out of a pool whose document is still to come.
+bool Planning::IsSettled(const PoolHealth& pool, const base::VmRow& row) const {
+  const bool only_listed = row.changed == WallMillis{};
+  if (!only_listed) return now_ - row.changed >= settings_.settle;
+  const bool is_spare = pool.pool == settings_.reserve.spare_pool;
+  return is_spare || pool.need.services > 0;
+}
+
 void Planning::AddCandidates(Balance& balance) {
   for (const VmStatus& it : balance.pool->vms) {
     const int rack = racks_(it.row->rack.value);
     const int zone = zones_(it.row->zone.value);
     if (it.health != VmHealth::kUp) continue;
-    const bool settled = now_ - it.row->changed >= settings_.settle;
+    const bool settled = IsSettled(*balance.pool, *it.row);
     balance.candidates.push_back({it.row, rack, zone, settled, false});
   }
 }
--- a/tests/planner_test.cc
+++ b/tests/planner_test.cc
@@ -52,7 +52,8 @@
   EXPECT_FALSE(decisions[0].reason.empty());
 }
 
-TEST(Planner, AFreshlyListedSpareVmMovesAtOnce) {
+// A fleet whose VMs the list has just shown for the first time.
+base::FleetView JustListed() {
   base::FleetView view = bench::MakeFleet(WithSpare(10, 10, 10), 3);
   for (auto& [vm, row] : view.vms) {
     platform::ListedVm listed;
@@ -61,6 +62,23 @@
     listed.rack = row.rack;
     row = NewVmRow(listed, row.pool);
   }
+  return view;
+}
+
+std::vector<Decision> PlanSoonAfter(const base::FleetView& view) {
+  return Plan(view, bench::AllUp(view, {kNow.count + 1000}), {}, Settings(),
+              {kNow.count + 2000});
+}
+
+TEST(Planner, APoolWhoseDocumentIsStillToComeKeepsItsVms) {
+  base::FleetView view = JustListed();
+  std::erase_if(view.documents,
+                [](const auto& it) { return it.second.pool.value != "spare"; });
+  EXPECT_TRUE(PlanSoonAfter(view).empty());
+}
+
+TEST(Planner, AFreshlyListedSpareVmMovesAtOnce) {
+  base::FleetView view = JustListed();
   for (auto& [team, document] : view.documents) {
     if (document.pool.value == "a") document.min_size = 11;
   }
--- a/tests/system/local_run.py
+++ b/tests/system/local_run.py
@@ -65,6 +65,18 @@
     cluster.start_entry("entry-2")
 
 
+def stay():
+    """Starts the local set-up without documents and load, until interrupted."""
+    with Cluster(20000) as cluster:
+        cluster.start()
+        say(f"controls {', '.join(cluster.controls.values())}; "
+            f"entries {', '.join(cluster.entries.values())}; Ctrl-C ends all")
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            say("stopping")
+
+
 def main():
     start = time.monotonic()
     with Cluster(20000) as cluster:
@@ -89,6 +101,6 @@
 
 if __name__ == "__main__":
     try:
-        main()
+        stay() if "--stay" in sys.argv else main()
     except Failure as failure:
         sys.exit(f"FAILED: {failure}")
