--- a/tests/peer_transport_test.cc
+++ b/tests/peer_transport_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <thread>
 
+#include "blocking.h"
 #include "peer/gen/peer_types.h"
 #include "peer/transport.h"
 
@@ -47,16 +48,8 @@
 
   tl::expected<gen::Message, PeerError> Call(std::string address,
                                              const gen::Message& message) {
-    std::optional<tl::expected<gen::Message, PeerError>> result;
-    std::atomic<bool> done{false};
-    pool_.Spawn("call", [&]() -> asio::awaitable<void> {
-      auto reply = co_await client_.Call(std::move(address), message, {200});
-      result = std::move(reply);
-      done = true;
-      done.notify_all();
-    }());
-    done.wait(false);
-    return std::move(*result);
+    return tests::RunBlocking(pool_,
+                              client_.Call(std::move(address), message, {200}));
   }
 
   kernel::WorkerPool pool_;
