--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -39,7 +39,7 @@
   return plan;
 }
 
-FleetCase Pasitos(std::string what, Faults faults) {
+FleetCase Pasitos(const std::string& what, Faults faults) {
   FleetCase it;
   it.name = "pasitos " + what;
   it.zones = 4;
@@ -52,7 +52,7 @@
   return it;
 }
 
-FleetCase Agency(std::string what, Faults faults) {
+FleetCase Agency(const std::string& what, Faults faults) {
   FleetCase it;
   it.name = "agency " + what;
   it.zones = 3;
@@ -66,7 +66,7 @@
 }
 
 // `vms` workers over the letter's pools, zones and teams in proportion.
-FleetCase Letter(std::string what, int vms, Faults faults) {
+FleetCase Letter(const std::string& what, int vms, Faults faults) {
   FleetCase it;
   it.name = "letter " + what;
   it.zones = kLetterZones;
@@ -125,7 +125,7 @@
   explicit FleetBench(std::ostream& out) : out_(out) {}
 
   void Head();
-  void Case(const FleetCase& fleet_case, std::vector<Policy> policies);
+  void Case(const FleetCase& fleet_case, const std::vector<Policy>& policies);
   void Cost(int vms);
   [[nodiscard]] std::uint64_t signature() const { return signature_; }
 
@@ -140,7 +140,7 @@
 }
 
 void FleetBench::Case(const FleetCase& fleet_case,
-                      std::vector<Policy> policies) {
+                      const std::vector<Policy>& policies) {
   for (const Policy policy : policies) {
     const FleetResult it = RunFleetCase(fleet_case, policy);
     char buf[256];
--- a/bench/fleet_builder.h
+++ b/bench/fleet_builder.h
@@ -22,7 +22,7 @@
   int from_minute = 0;
   int to_minute = 24 * 60;
   base::Millis graceful_stop = base::Seconds(60);
-  base::Weights weights;
+  base::Weights weights = {};
   int teams = 1;
   bool movable = true;
 };
