--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -136,7 +136,7 @@
 
 void FleetBench::Head() {
   out_ << "case                    policy         buffer VM-h/h  roll-out min"
-          "  moves  below by us min  below min  done/total  end\n";
+          "  preview  moves  below by us min  below min  done/total  end\n";
 }
 
 void FleetBench::Case(const FleetCase& fleet_case,
@@ -145,11 +145,11 @@
     const FleetResult it = RunFleetCase(fleet_case, policy);
     char buf[256];
     std::snprintf(buf, sizeof buf,
-                  "%-23s %-14s %13.2f %13d %6d %16.1f %10.1f %5d/%-5d %s\n",
+                  "%-23s %-14s %13.2f %13d %8d %6d %16.1f %10.1f %5d/%-5d %s\n",
                   fleet_case.name.c_str(), Name(policy),
-                  it.buffer_vm_hours / it.hours, it.rollout_minutes, it.moves,
-                  it.minutes_below_by_us, it.minutes_below, it.done, it.total,
-                  it.end.c_str());
+                  it.buffer_vm_hours / it.hours, it.rollout_minutes,
+                  it.preview_minutes, it.moves, it.minutes_below_by_us,
+                  it.minutes_below, it.done, it.total, it.end.c_str());
     out_ << buf << std::flush;
     if (policy != Policy::kOurs) continue;
     signature_ = base::StableHash(std::to_string(it.signature), signature_);
--- a/bench/fleet_world.cc
+++ b/bench/fleet_world.cc
@@ -345,6 +345,12 @@
 }
 
 FleetResult World::Run() {
+  const control::WavePreview preview = control::PreviewWave(
+      view_, verdicts_, demand_, accounts_, view_.waves.at(kWave), waves_,
+      planner_.reserve, now_);
+  constexpr std::int64_t kMinuteMillis = base::Minutes(1).count;
+  result_.preview_minutes =
+      static_cast<int>(preview.duration.count / kMinuteMillis);
   while (Elapsed() < case_.length) {
     BreakThings();
     AdvanceMachines();
--- a/bench/fleet_world.h
+++ b/bench/fleet_world.h
@@ -45,6 +45,7 @@
   double buffer_vm_hours = 0;
   double hours = 0;
   int rollout_minutes = -1;  ///< -1: not finished in the case's length.
+  int preview_minutes = 0;   ///< What PreviewWave said at the start.
   int moves = 0;
   double minutes_below_by_us = 0;
   double minutes_below = 0;  ///< All causes, summed over services.
--- a/src/control/planner.cc
+++ b/src/control/planner.cc
@@ -120,8 +120,7 @@
   zone_counts_.resize(zones_.size());
 }
 
-// How many VMs an active wave should be able to have out of the pool at once.
-// Where moves weigh least, VMs are lent until few rounds suffice.
+// How many VMs an active wave should be able to have out of the pool now.
 int Planning::WaveWidthWanted(const PoolHealth& pool) const {
   const base::WaveRow* wave = ActiveWave(view_, pool.pool);
   if (wave == nullptr) return 0;
@@ -133,11 +132,7 @@
         it.health == VmHealth::kUp && WaveWants(view_, *wave, *it.row);
     if (out || wanted) ++left;
   }
-  const base::Weights& weights = pool.need.weights;
-  if (weights.rollout <= weights.moves) return std::min(left, 1);
-  const int size = static_cast<int>(pool.vms.size());
-  const int rounds = settings_.wave_rounds;
-  return std::min(left, (size + rounds - 1) / rounds);
+  return WidthWanted(pool, left, settings_.reserve);
 }
 
 void Planning::WeighPool(const PoolHealth& pool, const PoolReserve& reserve) {
--- a/src/control/planner.h
+++ b/src/control/planner.h
@@ -31,9 +31,7 @@
   ReserveSettings reserve;
   base::Millis replace_after = base::Minutes(5);  ///< Down so long: replaced.
   base::Millis return_limit = base::Minutes(15);  ///< Out so long: replaced.
-  base::Millis settle = base::Minutes(30);  ///< Between two moves of one VM.
-  /// A wave is widened by lent VMs until it needs so many rounds at most.
-  int wave_rounds = 5;
+  base::Millis settle = base::Minutes(30);     ///< Between two moves of one VM.
   base::Millis wave_cycle = base::Minutes(6);  ///< As WaveSettings::cycle.
   int max_moves = 500;                         ///< In one step.
 };
--- /dev/null
+++ b/src/control/pool_room.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/fleet.h"
+#include "control/budget.h"
+#include "control/reserve.h"
+#include "control/wave.h"
+
+namespace hemlockward::control {
+
+/// How many VMs one pool can spare now, and what limits it. The floor must
+/// stand even if the worst rack fails while they are out.
+class PoolRoom {
+ public:
+  PoolRoom(const PoolHealth& pool, const Demand& demand,
+           const Accounts& accounts, const WaveSettings& settings,
+           base::WallMillis now);
+
+  /// The rack number of a VM of the pool.
+  [[nodiscard]] int RackOf(const base::VmRow& row) const {
+    return racks_.at(row.rack.value);
+  }
+  [[nodiscard]] int UpInRack(int rack) const { return up_by_rack_[rack]; }
+  /// True when one more VM of this rack and zone may be taken out.
+  bool Allows(const base::VmRow& row);
+  void TakeOut(const base::VmRow& row);
+  [[nodiscard]] const std::string& limit() const { return limit_; }
+
+ private:
+  void CountPlaces(const PoolHealth& pool);
+  bool CheckHours(const PoolHealth& pool, const WaveSettings& settings,
+                  base::WallMillis now);
+  void SetMargin(const PoolHealth& pool, const Accounts& accounts,
+                 const WaveSettings& settings, base::WallMillis now);
+  [[nodiscard]] int WorstRackWithout(int rack) const;
+  [[nodiscard]] int WorstZoneWithout(std::string_view zone) const;
+  bool KeepsFloor(const base::VmRow& row, int up_after);
+
+  int up_;
+  int floor_;
+  int demand_;
+  int racks_to_survive_ = 1;
+  int spread_racks_;
+  int spread_zones_;
+  bool in_hours_;
+  bool survives_zone_ = false;  ///< At full strength, with one VM out.
+  std::string limit_;
+  std::unordered_map<std::string_view, int> racks_;
+  std::unordered_map<std::string_view, int> up_by_zone_;
+  std::vector<int> up_by_rack_;
+  std::vector<int> racks_with_;  // How many racks have n VMs up.
+};
+
+}  // namespace hemlockward::control
--- a/src/control/reserve.cc
+++ b/src/control/reserve.cc
@@ -62,6 +62,15 @@
   return std::min(wanted, std::max(pool.need.min_size, pool.need.max_size));
 }
 
+int WidthWanted(const PoolHealth& pool, int left,
+                const ReserveSettings& settings) {
+  const base::Weights& weights = pool.need.weights;
+  if (weights.rollout <= weights.moves) return std::min(left, 1);
+  const int size = static_cast<int>(pool.vms.size());
+  const int rounds = settings.wave_rounds;
+  return std::min(left, (size + rounds - 1) / rounds);
+}
+
 namespace {
 
 // What the failure of one rack takes from the pools, by rack.
--- a/src/control/reserve.h
+++ b/src/control/reserve.h
@@ -34,6 +34,8 @@
 struct ReserveSettings {
   base::PoolId spare_pool;  ///< Where spare VMs wait; empty: none.
   base::Millis horizon = base::Hours(2);  ///< Demand is looked ahead so far.
+  /// A wave is widened by lent VMs until it needs so many rounds at most.
+  int wave_rounds = 5;
 };
 
 /// What one pool needs, in VMs.
@@ -60,6 +62,12 @@
                         const Demand& demand, const ReserveSettings& settings,
                         base::WallMillis now);
 
+/// How many VMs a wave should be able to have out of the pool at once while
+/// `left` of them are to be maintained: one, and where moves weigh less than
+/// roll-out time as many as a few rounds need.
+int WidthWanted(const PoolHealth& pool, int left,
+                const ReserveSettings& settings);
+
 /// Target size of one pool: its least size, or more for expected demand, at
 /// most its largest size.
 int TargetSize(const PoolHealth& pool, const Demand& demand,
--- a/src/control/wave.h
+++ b/src/control/wave.h
@@ -69,6 +69,9 @@
                         const base::WaveRow& wave, const WaveSettings& settings,
                         const ReserveSettings& reserve, base::WallMillis now);
 
+/// True when `wave` passes through `pool`.
+bool Includes(const base::WaveRow& wave, const base::PoolId& pool);
+
 /// The oldest active wave that includes `pool`; null when there is none.
 const base::WaveRow* ActiveWave(const base::FleetView& view,
                                 const base::PoolId& pool);
--- /dev/null
+++ b/src/control/wave_preview.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "control/pool_room.h"
+#include "control/wave.h"
+
+namespace hemlockward::control {
+
+using base::Millis;
+using base::WallMillis;
+
+namespace {
+
+constexpr int kMinutesOfDay = 24 * 60;
+
+// When a pool's VMs may be taken out.
+struct Opening {
+  int wait = 0;  ///< Minutes until they may next.
+  int open = 0;  ///< Minutes of each day in which they may.
+};
+
+Opening FindOpening(const PoolHealth& pool, Millis cycle, WallMillis now) {
+  Opening opening;
+  for (int minute = 0; minute < kMinutesOfDay; ++minute) {
+    const WallMillis at = now + base::Minutes(minute);
+    if (OutsideHours(pool, cycle, at) != nullptr) continue;
+    if (opening.open == 0) opening.wait = minute;
+    ++opening.open;
+  }
+  return opening;
+}
+
+// Time that `busy` minutes of work take when only `opening` may be used.
+Millis Stretch(int busy, const Opening& opening) {
+  const int days = (busy - 1) / opening.open;
+  const int last = busy - days * opening.open;
+  return base::Minutes(opening.wait + days * kMinutesOfDay + last);
+}
+
+// Demand of an ordinary hour: a wave passes many hours, not just the next.
+Demand OrdinaryDemand(const Demand& demand) {
+  Demand ordinary = demand;
+  for (auto& [pool, it] : ordinary) {
+    std::array<double, 24> sorted = it.peak_by_hour;
+    std::nth_element(sorted.begin(), sorted.begin() + 12, sorted.end());
+    it.peak_by_hour.fill(sorted[12]);
+    it.now = std::min(it.now, sorted[12]);
+  }
+  return ordinary;
+}
+
+struct PoolPreview {
+  int todo = 0;
+  int width = 0;
+  std::string limit;
+};
+
+// How many VMs go at once when all are up and hours are open.
+PoolPreview PreviewPool(const base::FleetView& view, const PoolHealth& pool,
+                        const Demand& demand, const Accounts& accounts,
+                        const base::WaveRow& wave, const WaveSettings& settings,
+                        WallMillis now) {
+  PoolHealth open = pool;
+  open.need.documents.clear();
+  PoolRoom room(open, demand, accounts, settings, now);
+  PoolPreview preview;
+  for (const VmStatus& it : pool.vms) {
+    if (it.health != VmHealth::kUp) continue;
+    if (!WaveWants(view, wave, *it.row)) continue;
+    ++preview.todo;
+    if (!room.Allows(*it.row)) continue;
+    room.TakeOut(*it.row);
+    ++preview.width;
+  }
+  preview.limit = room.limit();
+  return preview;
+}
+
+// VMs that the spare pool can lend, by the plan's own measure.
+int SpareToLend(const std::vector<PoolHealth>& pools, const Demand& demand,
+                const ReserveSettings& settings, WallMillis now) {
+  const PoolHealth* spare = FindPool(pools, settings.spare_pool);
+  if (spare == nullptr) return 0;
+  const int target = TargetSize(*spare, demand, settings.horizon, now);
+  return std::max(0, spare->up - target);
+}
+
+// Adds one pool to the preview; `spare` is what may still be lent.
+void AddPool(WavePreview& preview, const PoolHealth& pool, PoolPreview part,
+             const WaveSettings& settings, const ReserveSettings& reserve,
+             int& spare, WallMillis now) {
+  preview.vms += part.todo;
+  if (part.todo == 0) return;
+  const int wanted = WidthWanted(pool, part.todo, reserve);
+  const int lent = std::clamp(wanted - part.width, 0, spare);
+  spare -= lent;
+  preview.moves += 2 * lent;
+  part.width += lent;
+  part.todo += lent;
+  const Opening opening = FindOpening(pool, settings.cycle, now);
+  if (opening.open == 0 || part.width == 0) {
+    preview.possible = false;
+    preview.tightest_pool = pool.pool;
+    preview.tightest_reason = opening.open == 0
+                                  ? "maintenance hours too short for one VM"
+                                  : part.limit;
+    return;
+  }
+  const int rounds = (part.todo + part.width - 1) / part.width;
+  const Millis work = settings.cycle * (rounds + 1) + settings.canary_soak;
+  const int busy = static_cast<int>(work.count / base::Minutes(1).count);
+  const Millis duration = Stretch(busy, opening);
+  if (duration <= preview.duration) return;
+  preview.duration = duration;
+  if (!preview.possible) return;
+  preview.tightest_pool = pool.pool;
+  preview.tightest_reason =
+      part.limit.empty() ? "the size of the pool" : part.limit;
+}
+
+}  // namespace
+
+WavePreview PreviewWave(const base::FleetView& view, const Verdicts& verdicts,
+                        const Demand& demand, const Accounts& accounts,
+                        const base::WaveRow& wave, const WaveSettings& settings,
+                        const ReserveSettings& reserve, WallMillis now) {
+  const std::vector<PoolHealth> pools =
+      JudgeFleet(view, verdicts, settings.judge, now);
+  const Demand ordinary = OrdinaryDemand(demand);
+  WavePreview preview;
+  preview.reserve = PlanReserve(pools, demand, reserve, now).hold;
+  int spare = SpareToLend(pools, ordinary, reserve, now);
+  for (const PoolHealth& pool : pools) {
+    if (!Includes(wave, pool.pool)) continue;
+    PoolPreview part =
+        PreviewPool(view, pool, ordinary, accounts, wave, settings, now);
+    AddPool(preview, pool, std::move(part), settings, reserve, spare, now);
+  }
+  preview.reserve += preview.moves / 2;
+  return preview;
+}
+
+}  // namespace hemlockward::control
