--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -62,10 +62,15 @@
           : std::string("time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level ") +
                 "process=" + std::string(process) + " %msg";
   conf.setGlobally(el::ConfigurationType::Format, prefix);
-  conf.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-  conf.setGlobally(el::ConfigurationType::ToFile, "true");
-  conf.setGlobally(el::ConfigurationType::Filename,
-                   file.empty() ? "/dev/stderr" : std::string(file));
+  const bool standard_output = file == "-";
+  conf.setGlobally(el::ConfigurationType::ToStandardOutput,
+                   standard_output ? "true" : "false");
+  conf.setGlobally(el::ConfigurationType::ToFile,
+                   standard_output ? "false" : "true");
+  if (!standard_output) {
+    conf.setGlobally(el::ConfigurationType::Filename,
+                     file.empty() ? "/dev/stderr" : std::string(file));
+  }
   conf.setGlobally(el::ConfigurationType::LogFlushThreshold, kLinesPerFlush);
   el::Loggers::reconfigureLogger("default", conf);
   StartFlusher();
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -11,7 +11,7 @@
 enum class LogFormat : std::uint8_t { kKeyValue, kJson };
 
 /// Sets where lines of at least `level` go. An empty file name means standard
-/// error.
+/// error, "-" standard output.
 void ConfigureLog(LogLevel level, LogFormat format, std::string_view file,
                   std::string_view process);
 
--- /dev/null
+++ b/src/jobs/fleet.cc
@@ -0,0 +1,354 @@
+#include "jobs/fleet.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cmath>
+
+#include "base/log.h"
+#include "jobs/rows.h"
+
+namespace hemlockward::jobs {
+
+namespace json = boost::json;
+using base::LogLevel;
+using base::LogLine;
+
+namespace {
+
+// Capacity is sought for this much of the work at hand: tasks don't fill
+// machines without gaps.
+constexpr double kNeedFactor = 1.25;
+// Share of the work of steps still to come that counts as needed soon.
+constexpr double kLaterShare = 0.5;
+// How long a machine is idle before it is switched off; a move back and forth
+// costs about as much as a machine for 2.4 s.
+constexpr Millis kIdleBeforeOff{1000};
+constexpr Millis kIdleBeforeLent{200};
+// An order without an answer is repeated after this; doing it twice is safe.
+constexpr Millis kRepeatOrder{1000};
+constexpr Millis kListingInterval{500};
+constexpr Millis kListingIntervalIdle{1500};
+constexpr std::size_t kMostOrdersAtOnce = 4;
+
+std::string EncodeBegun(const std::set<std::string>& machines) {
+  return json::serialize(json::array(machines.begin(), machines.end()));
+}
+
+bool IsHeadroom(const Configuration& config, const std::string& pool) {
+  const auto it = config.services.find(pool);
+  return it != config.services.end() && it->second.headroom;
+}
+
+}  // namespace
+
+void Fleet::BeginTerm(Millis orders_from) {
+  orders_from_ = orders_from;
+  machines_.clear();
+  begun_.clear();
+  listed_at_ = {-1'000'000};
+}
+
+void Fleet::LoadWave(std::string_view key, std::string_view value) {
+  boost::system::error_code ec;
+  const json::value list = json::parse(value, ec);
+  if (ec || !list.is_array()) {
+    LogLine(LogLevel::kError, "wave_row_unreadable").With("wave", key);
+    return;
+  }
+  auto& begun = begun_[std::atoi(std::string(key).c_str())];
+  for (const json::value& it : list.get_array()) {
+    if (it.is_string()) begun.emplace(std::string_view(it.get_string()));
+  }
+}
+
+bool Fleet::HasBegun(int wave, const std::string& machine) const {
+  const auto it = begun_.find(wave);
+  return it != begun_.end() && it->second.contains(machine);
+}
+
+bool Fleet::IsFree(const State& state) const {
+  return !state.ordered && state.machine.state == MachineState::kUp;
+}
+
+bool Fleet::WantsListing(Millis now) const {
+  const bool active =
+      std::any_of(machines_.begin(), machines_.end(), [](const auto& it) {
+        return it.second.ordered || it.second.upkeep_of > 0 ||
+               it.second.machine.state != MachineState::kUp;
+      });
+  return now - listed_at_ >= (active ? kListingInterval : kListingIntervalIdle);
+}
+
+void Fleet::OnMachines(const std::vector<Machine>& machines,
+                       Scheduler& scheduler, Millis sent) {
+  std::set<std::string> names;
+  for (const Machine& it : machines) {
+    names.insert(it.name);
+    State& state = machines_[it.name];
+    // A listing asked for before the newest order shows the time before it.
+    if (state.ordered && (state.in_flight || sent <= state.ordered_at)) {
+      continue;
+    }
+    state.machine = it;
+    const bool back = it.state == MachineState::kUp;
+    const Millis upkeep{
+        static_cast<std::int64_t>(settings_.upkeep_s * 1000)};
+    if (state.upkeep_of > 0 && back && sent - state.ordered_at >= upkeep) {
+      state.upkeep_of = 0;
+    }
+    if (Worker* worker = scheduler.FindWorker(it.worker)) {
+      worker->machine = it.name;
+    }
+  }
+  std::erase_if(machines_, [&](const auto& it) {
+    return !names.contains(it.first) && !it.second.ordered;
+  });
+}
+
+void Fleet::Give(State& state, MachineOrder order,
+                 std::vector<MachineOrder>& orders, Millis now) {
+  state.ordered = state.in_flight = true;
+  state.ordered_at = now;
+  if (order.wave > 0) state.upkeep_of = order.wave;
+  state.order = order;
+  tokens_ -= 1;
+  orders.push_back(std::move(order));
+}
+
+void Fleet::OnAnswer(const MachineOrder& order, MachineAnswer answer,
+                     Scheduler& scheduler, Millis now) {
+  const auto it = machines_.find(order.machine);
+  if (it == machines_.end()) return;
+  State& state = it->second;
+  state.in_flight = false;
+  Worker* worker = scheduler.FindWorker(order.worker);
+  LogLine(LogLevel::kInfo, "machine_order")
+      .With("machine", order.machine)
+      .With("worker", order.worker)
+      .With("pool", order.pool)
+      .With("wave", order.wave)
+      .With("answer", static_cast<int>(answer));
+  if (answer == MachineAnswer::kUnknown) return;
+  state.ordered = false;
+  if (answer == MachineAnswer::kBusy) {
+    if (order.wave > 0) state.upkeep_of = 0;
+    if (worker) worker->reserved = false;
+    // Its state is not what we believed: wait for a listing.
+    state.machine.state = MachineState::kDown;
+    state.ordered_at = now;
+    return;
+  }
+  state.ordered_at = now;
+  scheduler.EndWorker(order.worker, now);
+  state.machine.worker.clear();
+  state.machine.state =
+      order.wave > 0 ? MachineState::kUpkeep : MachineState::kMoving;
+  if (!order.pool.empty()) state.machine.pool = order.pool;
+  if (order.wave == 0) return;
+  auto& begun = begun_[order.wave];
+  begun.insert(order.machine);
+  scheduler.WriteRow(
+      {kWaveTable, std::to_string(order.wave), EncodeBegun(begun)});
+}
+
+bool Fleet::IsComplete(const WaveOrder& wave) const {
+  if (machines_.empty()) return false;
+  return std::all_of(
+      wave.machines.begin(), wave.machines.end(), [&](const auto& it) {
+        return HasBegun(wave.number, it) || !machines_.contains(it);
+      });
+}
+
+std::vector<MachineOrder> Fleet::Plan(const std::map<int, WaveOrder>& waves,
+                                      Scheduler& scheduler, Millis now) {
+  std::vector<MachineOrder> orders;
+  if (now < orders_from_ || machines_.empty()) return orders;
+  const double gained = static_cast<double>((now - tokens_at_).count) / 1000 *
+                        settings_.orders_per_s / 2;
+  tokens_ = std::min(settings_.orders_per_s / 2, tokens_ + gained);
+  tokens_at_ = now;
+  for (auto& [name, state] : machines_) {
+    if (!state.ordered || state.in_flight) continue;
+    if (now - state.ordered_at < kRepeatOrder || tokens_ < 1) continue;
+    Give(state, state.order, orders, now);
+  }
+  PlanWaves(waves, scheduler, orders, now);
+  PlanMoves(scheduler, orders, now);
+  return orders;
+}
+
+void Fleet::PlanWaves(const std::map<int, WaveOrder>& waves,
+                      Scheduler& scheduler, std::vector<MachineOrder>& orders,
+                      Millis now) {
+  for (auto& [id, worker] : scheduler.workers()) worker.awaits_upkeep = false;
+  for (const auto& [number, wave] : waves) {
+    int down = 0;
+    std::vector<std::pair<std::int64_t, State*>> waiting;
+    for (const std::string& name : wave.machines) {
+      const auto it = machines_.find(name);
+      if (it == machines_.end()) continue;
+      State& state = it->second;
+      if (state.upkeep_of == number) ++down;
+      if (HasBegun(number, name)) continue;
+      Worker* worker = scheduler.FindWorker(state.machine.worker);
+      if (worker) worker->awaits_upkeep = true;
+      if (!IsFree(state)) continue;
+      // Machines that are off first, then those with the least at work.
+      std::int64_t cost = 0;
+      if (worker) cost = 1 + worker->used.cpu_milli;
+      if (worker && worker->reserved) cost = 0;
+      waiting.emplace_back(cost, &state);
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const auto& a, const auto& b) {
+                return a.first != b.first ? a.first < b.first
+                                          : a.second < b.second;
+              });
+    int room = wave.cap - down;
+    for (auto& [cost, state] : waiting) {
+      if (room <= 0) break;
+      --room;
+      Worker* worker = scheduler.FindWorker(state->machine.worker);
+      if (worker && !scheduler.IsIdle(*worker)) {
+        worker->reserved = true;
+        scheduler.Evacuate(*worker, now);
+        continue;
+      }
+      if (tokens_ < 1) break;
+      if (worker) worker->reserved = true;
+      Give(*state,
+           {state->machine.name, state->machine.worker, "", number}, orders,
+           now);
+    }
+  }
+}
+
+std::vector<Fleet::Pool> Fleet::Pools(Scheduler& scheduler, Millis now) {
+  std::map<std::string, Pool> pools;
+  const Configuration& config = scheduler.configuration();
+  for (const auto& [name, service] : config.services) {
+    if (!service.headroom) pools[name].name = name;
+  }
+  for (auto& [name, state] : machines_) {
+    const auto it = pools.find(state.machine.pool);
+    if (it == pools.end()) continue;
+    Pool& pool = it->second;
+    pool.machine_cpu =
+        std::max(pool.machine_cpu, state.machine.capacity.cpu_milli);
+    if (state.machine.state == MachineState::kMoving ||
+        state.machine.state == MachineState::kUpkeep) {
+      ++pool.coming;
+      continue;
+    }
+    if (!IsFree(state)) continue;
+    Worker* worker = scheduler.FindWorker(state.machine.worker);
+    if (!worker) {
+      ++pool.coming;
+      continue;
+    }
+    if (worker->entry.draining || worker->reserved) continue;
+    ++pool.have;
+    if (scheduler.IsIdle(*worker) && worker->adopted && !worker->silent) {
+      pool.idle.push_back(name);
+    }
+  }
+  std::vector<Pool> list;
+  for (auto& [name, pool] : pools) {
+    if (pool.machine_cpu == 0) {
+      for (const auto& [id, state] : machines_) {
+        pool.machine_cpu =
+            std::max(pool.machine_cpu, state.machine.capacity.cpu_milli);
+      }
+    }
+    const PoolDemand demand = scheduler.Demand(name);
+    const auto machine = static_cast<double>(
+        std::max<std::int64_t>(1, pool.machine_cpu));
+    const auto now_cpu =
+        static_cast<double>(demand.ready_cpu + demand.running_cpu);
+    const double soon =
+        now_cpu + kLaterShare * static_cast<double>(demand.later_cpu);
+    pool.need = static_cast<int>(std::ceil(now_cpu * kNeedFactor / machine));
+    pool.need_soon = static_cast<int>(std::ceil(soon * kNeedFactor / machine));
+    std::sort(pool.idle.begin(), pool.idle.end(),
+              [&](const std::string& a, const std::string& b) {
+                const auto idle = [&](const std::string& it) {
+                  return scheduler
+                      .FindWorker(machines_.at(it).machine.worker)
+                      ->idle_since;
+                };
+                return idle(a) < idle(b);
+              });
+    list.push_back(std::move(pool));
+  }
+  (void)now;
+  return list;
+}
+
+void Fleet::PlanMoves(Scheduler& scheduler, std::vector<MachineOrder>& orders,
+                      Millis now) {
+  const Configuration& config = scheduler.configuration();
+  std::string headroom;
+  std::vector<State*> off;
+  for (const auto& [name, service] : config.services) {
+    if (service.headroom) headroom = name;
+  }
+  for (auto& [name, state] : machines_) {
+    if (IsFree(state) && IsHeadroom(config, state.machine.pool)) {
+      off.push_back(&state);
+    }
+  }
+  std::vector<Pool> pools = Pools(scheduler, now);
+  std::sort(pools.begin(), pools.end(), [](const Pool& a, const Pool& b) {
+    return a.need - a.have - a.coming > b.need - b.have - b.coming;
+  });
+  const auto idle_for = [&](const std::string& machine) {
+    const Worker* worker =
+        scheduler.FindWorker(machines_.at(machine).machine.worker);
+    return worker ? now - worker->idle_since : Millis{0};
+  };
+  const auto move = [&](const std::string& machine, const std::string& pool) {
+    State& state = machines_.at(machine);
+    Worker* worker = scheduler.FindWorker(state.machine.worker);
+    if (worker) worker->reserved = true;
+    Give(state, {machine, state.machine.worker, pool, 0}, orders, now);
+  };
+  for (Pool& pool : pools) {
+    int missing = pool.need - pool.have - pool.coming;
+    while (missing > 0 && tokens_ >= 1 &&
+           orders.size() < kMostOrdersAtOnce) {
+      if (!off.empty()) {
+        move(off.back()->machine.name, pool.name);
+        off.pop_back();
+        --missing;
+        continue;
+      }
+      // The pool with the most to spare lends the machine idle for longest.
+      Pool* lender = nullptr;
+      for (Pool& it : pools) {
+        if (&it == &pool || it.idle.empty() || it.have <= it.need) continue;
+        if (idle_for(it.idle.front()) < kIdleBeforeLent) continue;
+        if (!lender || it.have - it.need > lender->have - lender->need) {
+          lender = &it;
+        }
+      }
+      if (!lender) return;
+      move(lender->idle.front(), pool.name);
+      lender->idle.erase(lender->idle.begin());
+      --lender->have;
+      --missing;
+    }
+  }
+  if (headroom.empty()) return;
+  for (Pool& pool : pools) {
+    for (const std::string& machine : pool.idle) {
+      if (pool.have <= std::max(1, pool.need_soon)) break;
+      if (tokens_ < 1 || orders.size() >= kMostOrdersAtOnce) return;
+      if (machines_.at(machine).ordered) continue;
+      if (idle_for(machine) < kIdleBeforeOff) continue;
+      move(machine, headroom);
+      --pool.have;
+    }
+  }
+}
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/jobs/fleet.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jobs/model.h"
+#include "jobs/scheduler.h"
+
+/// Which machine serves which pool, and when it is taken down for upkeep.
+/// Pure, like the scheduler. Made for queues whose demand comes in turns that
+/// no pool can carry alone: machines follow the backlog, and machines that
+/// nobody needs are switched off.
+namespace hemlockward::jobs {
+
+struct FleetSettings {
+  double move_s = 1.5;
+  double upkeep_s = 2;
+  double orders_per_s = 64;  ///< What the platform accepts from all nodes.
+};
+
+struct MachineOrder {
+  std::string machine;
+  std::string worker;  ///< Its worker at the time; empty when it is off.
+  std::string pool;    ///< Where it goes; empty for an upkeep.
+  int wave = 0;
+};
+
+enum class MachineAnswer : std::uint8_t {
+  kDone,
+  kBusy,     ///< Not up, leaving, or not of that wave: nothing done.
+  kUnknown,  ///< It may have been done, or may be done later.
+};
+
+class Fleet {
+ public:
+  explicit Fleet(FleetSettings settings) : settings_(settings) {}
+
+  /// No order is given before `orders_from`: the last holder's may be recent.
+  void BeginTerm(Millis orders_from);
+  void LoadWave(std::string_view key, std::string_view value);
+  /// A whole listing, asked for at `sent`.
+  void OnMachines(const std::vector<Machine>& machines, Scheduler& scheduler,
+                  Millis sent);
+  std::vector<MachineOrder> Plan(const std::map<int, WaveOrder>& waves,
+                                 Scheduler& scheduler, Millis now);
+  void OnAnswer(const MachineOrder& order, MachineAnswer answer,
+                Scheduler& scheduler, Millis now);
+  /// True once every machine of the wave that is still there has begun.
+  [[nodiscard]] bool IsComplete(const WaveOrder& wave) const;
+  /// Whether a listing is worth asking for now.
+  [[nodiscard]] bool WantsListing(Millis now) const;
+  void NoteListing(Millis now) { listed_at_ = now; }
+
+ private:
+  struct State {
+    Machine machine;
+    bool ordered = false;  ///< An order is under way or not settled.
+    MachineOrder order;
+    Millis ordered_at{0};
+    bool in_flight = false;
+    int upkeep_of = 0;  ///< The wave for which it is down; 0: none.
+    Millis off_since{0};
+  };
+  struct Pool {
+    std::string name;
+    std::int64_t machine_cpu = 0;
+    int have = 0;    ///< Up, and not being emptied.
+    int coming = 0;  ///< Under way to it.
+    int need = 0;
+    int need_soon = 0;
+    std::vector<std::string> idle;  ///< Machines, longest idle first.
+  };
+
+  void PlanWaves(const std::map<int, WaveOrder>& waves, Scheduler& scheduler,
+                 std::vector<MachineOrder>& orders, Millis now);
+  void PlanMoves(Scheduler& scheduler, std::vector<MachineOrder>& orders,
+                 Millis now);
+  std::vector<Pool> Pools(Scheduler& scheduler, Millis now);
+  void Give(State& state, MachineOrder order,
+            std::vector<MachineOrder>& orders, Millis now);
+  [[nodiscard]] bool HasBegun(int wave, const std::string& machine) const;
+  [[nodiscard]] bool IsFree(const State& state) const;
+
+  FleetSettings settings_;
+  Millis orders_from_{0};
+  Millis listed_at_{-1'000'000};
+  std::map<std::string, State> machines_;
+  std::map<int, std::set<std::string>> begun_;
+  double tokens_ = 0;
+  Millis tokens_at_{0};
+};
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/jobs/placing.cc
@@ -0,0 +1,433 @@
+// Order of jobs and choice of workers. Made for pools whose demand comes in
+// turns of several times what they hold: jobs that can still meet their
+// objective go first, by slack, and tasks fill one worker after the other so
+// that whole machines fall idle and can follow the demand.
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "jobs/scheduler.h"
+
+namespace hemlockward::jobs {
+
+using base::LogLevel;
+using base::LogLine;
+
+namespace {
+
+// Estimates of run times are rough: a job counts as late only when it is
+// behind by this share of its chain.
+constexpr double kLateShare = 0.5;
+constexpr int kFullPercent = 100;
+// The tail reading covers half a second; pace changes wait for a new one.
+constexpr Millis kPaceInterval{500};
+constexpr int kPaceStep = 20;
+// Shares of the tail's target at which filling tasks are slowed or sped up.
+constexpr double kTailHigh = 0.85;
+constexpr double kTailLow = 0.5;
+
+std::string StepName(const Job& job, int occurrence, int step) {
+  return job.id + "." + std::to_string(occurrence) + "." +
+         std::to_string(step);
+}
+
+bool HasLabel(const Worker& worker, std::string_view label) {
+  const auto& labels = worker.entry.labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+Resources Room(const Worker& worker) {
+  Resources room = worker.entry.capacity;
+  room -= worker.used;
+  return room;
+}
+
+// Earlier is first.
+struct Urgency {
+  bool lasting = false;
+  int priority = 0;
+  bool late = false;
+  Millis slack{0};
+
+  friend bool operator<(const Urgency& a, const Urgency& b) {
+    if (a.lasting != b.lasting) return a.lasting;
+    if (a.late != b.late) return b.late;
+    if (a.priority != b.priority) return a.priority < b.priority;
+    return a.slack < b.slack;
+  }
+};
+
+Millis RemainingChain(const Job& job) {
+  Millis longest{0};
+  for (const Occurrence& occurrence : job.occurrences) {
+    std::vector<Millis> ends;
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const StepSpec& spec = job.spec.steps[i];
+      Millis start{0};
+      for (const int it : spec.after) start = std::max(start, ends[it]);
+      const bool done = occurrence.steps[i].done == spec.task_count;
+      ends.push_back(done ? start : start + spec.estimate);
+      longest = std::max(longest, ends.back());
+    }
+  }
+  return longest;
+}
+
+Urgency UrgencyOf(const Job& job, const Queue& queue, Millis now) {
+  Urgency urgency;
+  urgency.lasting = job.lasting;
+  urgency.priority = queue.priority;
+  urgency.slack = job.objective - now - RemainingChain(job);
+  const double late = -kLateShare * static_cast<double>(job.chain.count);
+  urgency.late = static_cast<double>(urgency.slack.count) < late;
+  return urgency;
+}
+
+}  // namespace
+
+bool Scheduler::AdoptionPending(const Job& job, Millis now) const {
+  const std::string& pool = PoolOf(job);
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
+    const Worker& worker = it.second;
+    if (!worker.from_earlier_term || worker.adopted || worker.ended) {
+      return false;
+    }
+    if (now > worker.lease_by) return false;
+    return worker.entry.service == job.service || worker.entry.service == pool;
+  });
+}
+
+bool Scheduler::StepIsOpen(const Job& job, int occurrence, int step,
+                           WallMillis wall) const {
+  const auto& steps = job.occurrences[occurrence].steps;
+  for (const int it : job.spec.steps[step].after) {
+    if (steps[it].done < job.spec.steps[it].task_count) return false;
+  }
+  if (job.spec.occurrences == 0) return true;
+  return job.spec.first_due + job.spec.interval * occurrence <= wall;
+}
+
+bool Scheduler::MayHost(const Job&, const StepSpec& step,
+                        const std::string& step_name, const Task& task,
+                        const Worker& worker, bool avoid) const {
+  Resources need = step.need;
+  if (step.fills) need.cpu_milli = 0;
+  if (!need.Fits(Room(worker))) return false;
+  if (!step.required_label.empty() &&
+      !HasLabel(worker, step.required_label)) {
+    return false;
+  }
+  if (step.max_per_worker > 0) {
+    const auto it = worker.per_step.find(step_name);
+    if (it != worker.per_step.end() && it->second >= step.max_per_worker) {
+      return false;
+    }
+  }
+  if (!avoid) return true;
+  return std::find(task.avoid.begin(), task.avoid.end(), worker.entry.id) ==
+         task.avoid.end();
+}
+
+const std::string* Scheduler::TicketFor(const std::string& step_name,
+                                        const Worker& worker, Orders& orders,
+                                        std::vector<Worker*>& pool,
+                                        Millis now) {
+  auto& known = tickets_[step_name];
+  Ticket& ticket = known[worker.entry.id];
+  if (ticket.allowed && now < ticket.valid_until) return &ticket.text;
+  if (ticket.asked) return nullptr;
+  constexpr std::size_t kMostAsked = 100;
+  std::vector<std::string> ask;
+  for (const Worker* it : pool) {
+    Ticket& other = known[it->entry.id];
+    const bool stale = other.allowed && now >= other.valid_until;
+    if (other.asked || (other.valid_until.count > 0 && !stale)) continue;
+    if (ask.size() == kMostAsked) break;
+    other.asked = true;
+    ask.push_back(it->entry.id);
+  }
+  if (!ask.empty()) orders.advice.emplace_back(step_name, std::move(ask));
+  return nullptr;
+}
+
+void Scheduler::OnAdvice(
+    std::string_view step, std::span<const std::string> asked,
+    std::span<const std::pair<std::string, std::string>> tickets, Millis valid,
+    Millis now) {
+  const auto it = tickets_.find(step);
+  if (it == tickets_.end()) return;
+  const bool answered = valid.count > 0;
+  for (const std::string& id : asked) {
+    Ticket& ticket = it->second[id];
+    ticket.asked = false;
+    ticket.allowed = false;
+    // A worker that isn't named isn't asked about again: the set is fixed.
+    if (answered) ticket.valid_until = now + valid;
+  }
+  for (const auto& [id, text] : tickets) {
+    Ticket& ticket = it->second[id];
+    ticket.text = text;
+    ticket.allowed = true;
+    ticket.valid_until = now + valid;
+  }
+}
+
+Worker* Scheduler::Place(const Job& job, const Queue& queue, const TaskId& id,
+                         std::vector<Worker*>& pool, Orders& orders,
+                         Millis now) {
+  const StepSpec& step = job.spec.steps[id.step];
+  const Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+  const std::string name = StepName(job, id.occurrence, id.step);
+  for (const bool avoid : {true, false}) {
+    if (!avoid && task.avoid.empty()) break;
+    Worker* best = nullptr;
+    std::int64_t best_score = 0;
+    for (Worker* it : pool) {
+      if (!MayHost(job, step, name, task, *it, avoid)) continue;
+      if (queue.needs_tickets && !TicketFor(name, *it, orders, pool, now)) {
+        continue;
+      }
+      // Fullest first; far from the data or due for upkeep only if need be.
+      constexpr std::int64_t kWorse = 1'000'000'000;
+      std::int64_t score = Room(*it).cpu_milli;
+      if (!step.data_rack.empty() && !HasLabel(*it, step.data_rack)) {
+        score += 2 * kWorse;
+      }
+      if (it->awaits_upkeep && step.lasting) score += kWorse;
+      if (!best || score < best_score) {
+        best = it;
+        best_score = score;
+      }
+    }
+    if (best) return best;
+  }
+  return nullptr;
+}
+
+bool Scheduler::StartTask(Job& job, const Queue& queue, const TaskId& id,
+                          int number, std::vector<Worker*>& pool,
+                          Orders& orders, Millis now) {
+  Worker* worker = Place(job, queue, id, pool, orders, now);
+  if (!worker) return false;
+  StartOrder order;
+  order.worker = worker->entry.id;
+  order.task = id;
+  order.run = number;
+  order.deadline_ms = LeaseEnd(*worker, now);
+  order.checkpoint =
+      job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
+  if (queue.needs_tickets) {
+    const std::string name = StepName(job, id.occurrence, id.step);
+    order.ticket = *TicketFor(name, *worker, orders, pool, now);
+  }
+  AddRun(*worker, job, id, number, RunPhase::kSent, now);
+  NoteLease(*worker, now);
+  if (job.state == JobState::kPending) job.state = JobState::kRunning;
+  orders.starts.push_back(std::move(order));
+  return true;
+}
+
+// All members or none; they share one run number.
+bool Scheduler::PlanGang(Job& job, const Queue& queue, int occurrence,
+                         int step, std::vector<Worker*>& pool, Orders& orders,
+                         Millis now) {
+  Step& state = job.occurrences[occurrence].steps[step];
+  int number = 0;
+  std::string checkpoint;
+  for (const Task& it : state.tasks) {
+    if (it.live > 0 || it.unseen) return false;
+    number = std::max(number, NextRun(it));
+    if (!it.checkpoint.empty()) checkpoint = it.checkpoint;
+  }
+  for (Task& it : state.tasks) it.checkpoint = checkpoint;
+  const std::size_t first = orders.starts.size();
+  for (int i = 0; i < static_cast<int>(state.tasks.size()); ++i) {
+    const TaskId id{job.id, occurrence, step, i};
+    if (StartTask(job, queue, id, number, pool, orders, now)) continue;
+    for (std::size_t k = first; k < orders.starts.size(); ++k) {
+      Worker* worker = FindWorker(orders.starts[k].worker);
+      const auto it = worker->runs.find(orders.starts[k].task);
+      if (it != worker->runs.end()) EndRun(*worker, it, now);
+    }
+    orders.starts.resize(first);
+    return false;
+  }
+  return true;
+}
+
+bool Scheduler::PlanJob(Job& job, const Queue& queue,
+                        std::vector<Worker*>& pool, Orders& orders,
+                        Millis now, WallMillis wall) {
+  bool all = true;
+  const bool unseen_allowed =
+      !job.earlier_term || !AdoptionPending(job, now);
+  for (int k = 0; k < static_cast<int>(job.occurrences.size()); ++k) {
+    auto& steps = job.occurrences[k].steps;
+    for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
+      Step& step = steps[s];
+      const StepSpec& spec = job.spec.steps[s];
+      if (step.done == spec.task_count) continue;
+      if (!StepIsOpen(job, k, s, wall)) continue;
+      for (Task& it : step.tasks) {
+        if (it.unseen && unseen_allowed) it.unseen = false;
+      }
+      if (spec.gang) {
+        all = PlanGang(job, queue, k, s, pool, orders, now) && all;
+        continue;
+      }
+      for (int i = 0; i < spec.task_count; ++i) {
+        Task& task = step.tasks[i];
+        if (task.done || task.live > 0 || task.unseen) continue;
+        const TaskId id{job.id, k, s, i};
+        if (StartTask(job, queue, id, NextRun(task), pool, orders, now)) {
+          continue;
+        }
+        all = false;
+        // The other tasks of the step need the same; all fail alike unless
+        // each avoids workers of its own.
+        if (task.avoid.empty()) break;
+      }
+    }
+  }
+  return all;
+}
+
+void Scheduler::PlanPool(const std::string& service, std::vector<Job*>& jobs,
+                         Orders& orders, Millis now, WallMillis wall) {
+  std::vector<Worker*> pool;
+  std::vector<Worker*> ejected;
+  for (auto& [id, worker] : workers_) {
+    if (worker.entry.service != service) continue;
+    const bool usable = worker.listed && !worker.ended && worker.adopted &&
+                        worker.stored && !worker.entry.draining &&
+                        !worker.reserved && !worker.silent &&
+                        now >= worker.refused_until;
+    if (!usable) continue;
+    (now < worker.ejected_until ? ejected : pool).push_back(&worker);
+  }
+  // When most of a pool fails, the fault is more likely the jobs'.
+  if (ejected.size() > pool.size()) {
+    pool.insert(pool.end(), ejected.begin(), ejected.end());
+  }
+  if (pool.empty()) return;
+  std::vector<std::pair<Urgency, Job*>> order;
+  for (Job* it : jobs) {
+    const Queue* queue = QueueOf(*it);
+    order.emplace_back(UrgencyOf(*it, *queue, now), it);
+  }
+  std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return a.first < b.first;
+  });
+  for (auto& [urgency, job] : order) {
+    PlanJob(*job, *QueueOf(*job), pool, orders, now, wall);
+  }
+}
+
+// Slows filling tasks beside a serving task whose tail nears its target.
+void Scheduler::CheckTargets(Worker& worker, Orders& orders, Millis now) {
+  double worst = 0;
+  for (const auto& [id, run] : worker.runs) {
+    const StepSpec& step = run.job->spec.steps[id.step];
+    if (step.tail_target.count == 0 || run.percent < kFullPercent) continue;
+    worst = std::max(worst, static_cast<double>(run.load) /
+                                static_cast<double>(step.tail_target.count));
+  }
+  if (worst == 0) return;
+  for (auto& [id, run] : worker.runs) {
+    const StepSpec& step = run.job->spec.steps[id.step];
+    if (!step.fills || run.phase != RunPhase::kRunning) continue;
+    if (now - run.over_target_since < kPaceInterval) continue;
+    int pace = run.pace;
+    if (worst > 1) {
+      pace = run.pace > kPaceStep ? run.pace / 2 : 0;
+    } else if (worst > kTailHigh) {
+      pace = std::max(0, run.pace - kPaceStep);
+    } else if (worst < kTailLow) {
+      pace = std::min(kFullPercent, run.pace + kPaceStep);
+    }
+    if (pace == run.pace) continue;
+    run.pace = pace;
+    run.over_target_since = now;
+    run.progress_at = now;
+    orders.paces.push_back({worker.entry.id, id, run.number, pace});
+  }
+}
+
+void Scheduler::PlanStops(Orders& orders, Millis now) {
+  for (auto& [id, worker] : workers_) {
+    if (!worker.stops_wanted) continue;
+    worker.stops_wanted = false;
+    for (auto& [task, run] : worker.runs) {
+      if (!run.stop_wanted || run.stop_in_flight) continue;
+      if (now < run.stop_retry_at || run.phase == RunPhase::kSent) {
+        worker.stops_wanted = true;
+        continue;
+      }
+      run.stop_in_flight = true;
+      orders.stops.push_back({id, task, run.number});
+    }
+  }
+}
+
+// How many tasks of a step that lasts aren't at work.
+namespace {
+int Away(const std::map<std::string, Worker, std::less<>>& workers,
+         const Job& job, const TaskId& id) {
+  int at_work = 0;
+  for (const auto& [name, worker] : workers) {
+    for (const auto& [task, run] : worker.runs) {
+      if (run.job == &job && task.occurrence == id.occurrence &&
+          task.step == id.step && run.percent >= kFullPercent &&
+          !run.stop_wanted && !run.stop_in_flight && !worker.silent &&
+          run.phase == RunPhase::kRunning) {
+        ++at_work;
+      }
+    }
+  }
+  return job.spec.steps[id.step].task_count - at_work;
+}
+}  // namespace
+
+void Scheduler::Evacuate(Worker& worker, Millis now) {
+  for (auto& [id, run] : worker.runs) {
+    const StepSpec& step = run.job->spec.steps[id.step];
+    if (!step.lasting || run.stop_wanted || run.stop_in_flight) continue;
+    if (now < run.stop_retry_at || run.phase != RunPhase::kRunning) continue;
+    if (!worker.entry.draining) {
+      const int away = Away(workers_, *run.job, id);
+      const int others = run.percent >= kFullPercent ? away : away - 1;
+      if (others >= std::max(1, step.may_miss)) continue;
+    }
+    run.stop_wanted = worker.stops_wanted = true;
+  }
+}
+
+Orders Scheduler::Plan(Millis now, WallMillis wall, bool may_start) {
+  Orders orders;
+  Expire(now);
+  for (auto& [id, worker] : workers_) {
+    // A lease that has surely run out ends everything on the worker.
+    if (!worker.runs.empty() && now > worker.lease_by) {
+      LogLine(LogLevel::kWarning, "lease_ran_out")
+          .With("worker", id)
+          .With("runs", worker.runs.size())
+          .With("heard_ms_ago", (now - worker.heard).count);
+      ReleaseAll(worker, now);
+      worker.silent = true;
+    }
+    if (worker.entry.draining && worker.listed) Evacuate(worker, now);
+    if (!worker.runs.empty()) CheckTargets(worker, orders, now);
+  }
+  PlanStops(orders, now);
+  if (!may_start) return orders;
+  std::map<std::string, std::vector<Job*>> pools;
+  for (Job* it : open_) {
+    if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].push_back(it);
+  }
+  for (auto& [service, jobs] : pools) {
+    PlanPool(service, jobs, orders, now, wall);
+  }
+  return orders;
+}
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/jobs/rows.cc
@@ -0,0 +1,167 @@
+#include "jobs/rows.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace hemlockward::jobs {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string_view TextOf(const json::object& object, std::string_view name) {
+  const json::value* it = object.if_contains(name);
+  return it && it->is_string() ? std::string_view(it->get_string())
+                               : std::string_view();
+}
+
+std::int64_t IntegerOf(const json::object& object, std::string_view name) {
+  const json::value* it = object.if_contains(name);
+  return it && it->is_int64() ? it->get_int64() : 0;
+}
+
+std::optional<json::object> ParseObject(std::string_view text) {
+  boost::system::error_code ec;
+  json::value value = json::parse(text, ec);
+  if (ec || !value.is_object()) return std::nullopt;
+  return std::move(value.get_object());
+}
+
+std::optional<JobState> ParseState(std::string_view text) {
+  for (const JobState it :
+       {JobState::kPending, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (text == ToText(it)) return it;
+  }
+  return std::nullopt;
+}
+
+bool ApplyDone(const json::value& value, Job& job) {
+  const json::array* row = value.if_array();
+  if (!row || row->size() != 3 || !(*row)[2].is_string()) return false;
+  const auto occurrence = static_cast<std::size_t>((*row)[0].to_number<int>());
+  const auto number = static_cast<std::size_t>((*row)[1].to_number<int>());
+  if (occurrence >= job.occurrences.size()) return false;
+  if (number >= job.occurrences[occurrence].steps.size()) return false;
+  Step& step = job.occurrences[occurrence].steps[number];
+  const std::string_view marks = (*row)[2].get_string();
+  for (std::size_t i = 0; i < std::min(marks.size(), step.tasks.size()); ++i) {
+    if (marks[i] != '1' || step.tasks[i].done) continue;
+    step.tasks[i].done = true;
+    ++step.done;
+  }
+  if (step.done == static_cast<int>(step.tasks.size())) {
+    Occurrence& whole = job.occurrences[occurrence];
+    if (++whole.steps_done == static_cast<int>(whole.steps.size())) {
+      ++job.occurrences_done;
+    }
+  }
+  return true;
+}
+
+bool ApplyFailed(const json::value& value, Job& job) {
+  const json::array* row = value.if_array();
+  if (!row || row->size() != 4 || !(*row)[3].is_array()) return false;
+  const auto occurrence = static_cast<std::size_t>((*row)[0].to_number<int>());
+  const auto step = static_cast<std::size_t>((*row)[1].to_number<int>());
+  const auto index = static_cast<std::size_t>((*row)[2].to_number<int>());
+  if (occurrence >= job.occurrences.size()) return false;
+  if (step >= job.occurrences[occurrence].steps.size()) return false;
+  auto& tasks = job.occurrences[occurrence].steps[step].tasks;
+  if (index >= tasks.size()) return false;
+  for (const json::value& it : (*row)[3].get_array()) {
+    tasks[index].failed_runs.push_back(it.to_number<int>());
+  }
+  return true;
+}
+
+}  // namespace
+
+// One line of JSON, then the client's body as it came.
+std::string EncodeJobRow(const Job& job) {
+  return json::serialize(json::object{{"queue", job.queue},
+                                      {"service", job.service},
+                                      {"accepted", job.accepted_wall.count}}) +
+         "\n" + job.source;
+}
+
+std::optional<JobRow> DecodeJobRow(std::string_view text) {
+  const std::size_t line = text.find('\n');
+  if (line == std::string_view::npos) return std::nullopt;
+  const auto head = ParseObject(text.substr(0, line));
+  if (!head) return std::nullopt;
+  return JobRow{std::string(TextOf(*head, "queue")),
+                std::string(TextOf(*head, "service")),
+                {IntegerOf(*head, "accepted")},
+                std::string(text.substr(line + 1))};
+}
+
+std::string EncodeProgressRow(const Job& job) {
+  json::object row{{"state", ToText(job.state)}};
+  if (IsOver(job.state)) {
+    row["queue"] = job.queue;
+    return json::serialize(row);
+  }
+  json::array done;
+  json::array failed;
+  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
+    for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+      const Step& step = job.occurrences[k].steps[s];
+      std::string marks;
+      for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const Task& task = step.tasks[i];
+        marks += task.done ? '1' : '0';
+        if (task.failed_runs.empty() || task.done) continue;
+        const json::array runs(task.failed_runs.begin(),
+                               task.failed_runs.end());
+        failed.push_back(json::array{k, s, i, runs});
+      }
+      if (step.done > 0) done.push_back(json::array{k, s, marks});
+    }
+  }
+  row["done"] = std::move(done);
+  if (!failed.empty()) row["failed"] = std::move(failed);
+  return json::serialize(row);
+}
+
+bool DecodeProgressRow(std::string_view text, Job& job) {
+  const auto row = ParseObject(text);
+  if (!row) return false;
+  const auto state = ParseState(TextOf(*row, "state"));
+  if (!state) return false;
+  job.state = *state;
+  if (const std::string_view queue = TextOf(*row, "queue"); !queue.empty()) {
+    job.queue = queue;
+  }
+  const json::value* done = row->if_contains("done");
+  if (done && done->is_array()) {
+    for (const json::value& it : done->get_array()) {
+      if (!ApplyDone(it, job)) return false;
+    }
+  }
+  const json::value* failed = row->if_contains("failed");
+  if (failed && failed->is_array()) {
+    for (const json::value& it : failed->get_array()) {
+      if (!ApplyFailed(it, job)) return false;
+    }
+  }
+  return true;
+}
+
+std::string EncodeWorkerRow(const Worker& worker) {
+  return json::serialize(json::object{{"address", worker.entry.address},
+                                      {"service", worker.entry.service},
+                                      {"zone", worker.entry.zone}});
+}
+
+bool DecodeWorkerRow(std::string_view text, Worker& worker, bool entry) {
+  const auto row = ParseObject(text);
+  if (!row) return false;
+  if (!entry) return true;
+  worker.entry.address = TextOf(*row, "address");
+  worker.entry.service = TextOf(*row, "service");
+  worker.entry.zone = TextOf(*row, "zone");
+  return true;
+}
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/jobs/runs.cc
@@ -0,0 +1,365 @@
+// The scheduler's record of runs: what workers answer and report.
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "jobs/scheduler.h"
+
+namespace hemlockward::jobs {
+
+using base::LogLevel;
+using base::LogLine;
+
+namespace {
+
+// How long a worker that had no room is left alone, unless a run ends there.
+constexpr Millis kNoRoomPause{100};
+// How long a worker that refused a start, or lists runs of unknown jobs, is.
+constexpr Millis kRefusedPause{500};
+// A run that makes no progress for so long stands still: the longest task of
+// the sites gains a percent every 42 ms, 340 ms on a worker slowed eightfold.
+constexpr Millis kStandstill{1500};
+// A lasting task is at work after a short start-up; this is well above it.
+constexpr Millis kStartupLimit{5000};
+// Failed runs of different jobs in a row that put a worker out of use, and for
+// how long until it is tried again.
+constexpr int kFailuresToEject = 3;
+constexpr Millis kEjection{4000};
+constexpr Millis kStopRetry{200};
+// Slack for the time between stamping an order and its arrival.
+constexpr Millis kLeaseMargin{150};
+
+std::string StepName(const TaskId& task) {
+  return task.job + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step);
+}
+
+Task& TaskOf(Job& job, const TaskId& id) {
+  return job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+}
+
+bool HasTask(const Job& job, const TaskId& id) {
+  return id.occurrence < static_cast<int>(job.occurrences.size()) &&
+         id.step < static_cast<int>(job.spec.steps.size()) &&
+         id.index < job.spec.steps[id.step].task_count;
+}
+
+std::string_view ToText(EndKind kind) {
+  switch (kind) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLapsed:
+      return "lapsed";
+    case EndKind::kBroken:
+      return "broken";
+    case EndKind::kAlone:
+      return "alone";
+  }
+  return "failed";
+}
+
+}  // namespace
+
+std::int64_t Scheduler::LeaseEnd(const Worker& worker, Millis now) const {
+  if (worker.clock_ms == 0) return 0;
+  return worker.clock_ms + (now - worker.clock_at).count +
+         settings_.lease.count;
+}
+
+void Scheduler::NoteLease(Worker& worker, Millis now) {
+  // The estimate of its clock may run ahead by the drift since it was read.
+  const Millis unread = now - worker.clock_at;
+  const double length =
+      static_cast<double>(settings_.lease.count) +
+      settings_.clock_drift * static_cast<double>(unread.count);
+  const Millis by =
+      now + kLeaseMargin +
+      Millis{static_cast<std::int64_t>(length / (1 - settings_.clock_drift))};
+  worker.lease_by = std::max(worker.lease_by, by);
+}
+
+void Scheduler::AddRun(Worker& worker, Job& job, const TaskId& id, int number,
+                       RunPhase phase, Millis now) {
+  Run run;
+  run.job = &job;
+  run.task = id;
+  run.number = number;
+  run.phase = phase;
+  const StepSpec& step = job.spec.steps[id.step];
+  run.need = step.need;
+  if (step.fills) run.need.cpu_milli = 0;
+  run.sent = run.settled_from = run.progress_at = now;
+  worker.used += run.need;
+  ++worker.per_step[StepName(id)];
+  worker.runs[id] = run;
+  ++run_count_;
+  ++job.live;
+  Task& task = TaskOf(job, id);
+  ++task.live;
+  task.started = true;
+  task.unseen = false;
+  task.last_run = std::max(task.last_run, number);
+}
+
+void Scheduler::EndRun(Worker& worker, std::map<TaskId, Run>::iterator it,
+                       Millis now) {
+  Run& run = it->second;
+  worker.used -= run.need;
+  const auto count = worker.per_step.find(StepName(run.task));
+  if (count != worker.per_step.end() && --count->second <= 0) {
+    worker.per_step.erase(count);
+  }
+  --run_count_;
+  --run.job->live;
+  Task& task = TaskOf(*run.job, run.task);
+  --task.live;
+  task.idle_since = now;
+  worker.runs.erase(it);
+  worker.refused_until = std::min(worker.refused_until, now);
+  if (worker.runs.empty()) worker.idle_since = now;
+}
+
+void Scheduler::ReleaseAll(Worker& worker, Millis now) {
+  while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
+}
+
+void Scheduler::OnStart(const StartOrder& order, StartAnswer answer, Millis,
+                        Millis now) {
+  Worker* worker = FindWorker(order.worker);
+  if (!worker) return;
+  const auto it = worker->runs.find(order.task);
+  if (it == worker->runs.end() || it->second.number != order.run ||
+      it->second.phase != RunPhase::kSent) {
+    return;
+  }
+  Run& run = it->second;
+  if (answer == StartAnswer::kStarted) {
+    run.phase = RunPhase::kRunning;
+    run.settled_from = run.progress_at = now;
+    return;
+  }
+  if (answer == StartAnswer::kUnknown) {
+    run.phase = RunPhase::kUnsettled;
+    run.stop_wanted = worker->stops_wanted = worker->silent = true;
+    return;
+  }
+  EndRun(*worker, it, now);
+  switch (answer) {
+    case StartAnswer::kNoRoom:
+      worker->refused_until = now + kNoRoomPause;
+      break;
+    case StartAnswer::kNoTicket:
+      tickets_.erase(StepName(order.task));
+      break;
+    case StartAnswer::kStale:
+      break;
+    default:
+      worker->refused_until = now + kRefusedPause;
+      worker->silent = true;
+  }
+}
+
+void Scheduler::OnStop(const StopOrder& order, bool answered, Millis now) {
+  Worker* worker = FindWorker(order.worker);
+  if (!worker) return;
+  const auto it = worker->runs.find(order.task);
+  if (it == worker->runs.end() || it->second.number != order.run) return;
+  Run& run = it->second;
+  run.stop_in_flight = false;
+  if (!answered) {
+    run.stop_retry_at = now + kStopRetry;
+    worker->stops_wanted = true;
+    return;
+  }
+  // The worker now refuses a start that may still come, and lists the run's
+  // end if it was there.
+  run.stop_wanted = false;
+  run.phase = RunPhase::kRunning;
+  run.settled_from = now;
+}
+
+void Scheduler::OnReport(std::string_view id, const WorkerReport& report,
+                         Millis sent, Millis now) {
+  Worker* worker = FindWorker(id);
+  if (!worker || worker->ended) return;
+  if (report.born > 0 && worker->born > 0 && report.born != worker->born) {
+    if (report.born < worker->born) return;
+    LogLine(LogLevel::kInfo, "worker_restarted")
+        .With("worker", id)
+        .With("runs_lost", worker->runs.size())
+        .With("born", report.born);
+    ReleaseAll(*worker, now);
+    worker->reported = worker->committed = worker->confirmed = 0;
+  }
+  if (report.born > 0) worker->born = report.born;
+  worker->clock_ms = report.clock_ms;
+  worker->clock_at = now;
+  worker->heard = now;
+  worker->silent = false;
+  worker->adopted = true;
+  for (const EndedRun& it : report.ended) OnEnd(*worker, it, now);
+  std::set<TaskId> active;
+  for (const ActiveRun& it : report.active) {
+    active.insert(it.task);
+    OnActive(*worker, it, sent, now);
+  }
+  for (auto it = worker->runs.begin(); it != worker->runs.end();) {
+    const auto next = std::next(it);
+    const Run& run = it->second;
+    const bool settled =
+        run.phase == RunPhase::kRunning && run.settled_from <= sent;
+    if (settled && !active.contains(it->first)) EndRun(*worker, it, now);
+    it = next;
+  }
+}
+
+void Scheduler::OnActive(Worker& worker, const ActiveRun& active, Millis sent,
+                         Millis now) {
+  const auto found = jobs_.find(active.task.job);
+  Job* job = found == jobs_.end() ? nullptr : found->second.get();
+  auto it = worker.runs.find(active.task);
+  if (it == worker.runs.end()) {
+    const bool known = job && HasTask(*job, active.task);
+    if (!known) {
+      // Nothing of ours: it ends with its lease, or the job's row was lost.
+      worker.refused_until = now + kRefusedPause;
+      LogLine(LogLevel::kWarning, "unknown_run")
+          .With("worker", worker.entry.id)
+          .With("task", active.task.ToText());
+      return;
+    }
+    AddRun(worker, *job, active.task, active.run, RunPhase::kRunning, now);
+    it = worker.runs.find(active.task);
+    const Task& task = TaskOf(*job, active.task);
+    if (IsOver(job->state) || task.done || task.live > 1) {
+      it->second.stop_wanted = worker.stops_wanted = true;
+    }
+    if (!IsOver(job->state)) job->state = JobState::kRunning;
+  }
+  Run& run = it->second;
+  if (active.run < run.number) return;
+  if (active.run > run.number) run.number = active.run;
+  if (run.phase == RunPhase::kSent || run.phase == RunPhase::kUnsettled) {
+    run.phase = RunPhase::kRunning;
+    run.settled_from = sent;
+  }
+  Task& task = TaskOf(*run.job, run.task);
+  task.last_run = std::max(task.last_run, active.run);
+  if (!active.checkpoint.empty()) task.checkpoint = active.checkpoint;
+  if (active.percent != run.percent) run.progress_at = now;
+  run.percent = active.percent;
+  run.load = active.load;
+  CheckProgress(worker, run, now);
+}
+
+void Scheduler::OnEnd(Worker& worker, const EndedRun& end, Millis now) {
+  if (end.number <= worker.reported) return;
+  worker.reported = end.number;
+  const auto it = worker.runs.find(end.task);
+  const bool ours = it != worker.runs.end() && it->second.number == end.run;
+  if (ours) EndRun(worker, it, now);
+  const auto found = jobs_.find(end.task.job);
+  if (found == jobs_.end() || !HasTask(*found->second, end.task)) return;
+  Job& job = *found->second;
+  Task& task = TaskOf(job, end.task);
+  task.last_run = std::max(task.last_run, end.run);
+  task.started = true;
+  if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
+  LogLine(LogLevel::kInfo, "run_ended")
+      .With("task", end.task.ToText())
+      .With("run", end.run)
+      .With("worker", worker.entry.id)
+      .With("how", ToText(end.kind));
+  const StepSpec& step = job.spec.steps[end.task.step];
+  if (end.kind == EndKind::kDone) {
+    worker.failures = 0;
+    if (!step.lasting) MarkDone(job, end.task, now);
+    return;
+  }
+  if (end.kind != EndKind::kFailed) return;
+  auto& failed = task.failed_runs;
+  if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
+  CountFailure(worker, job, now);
+  task.avoid.push_back(worker.entry.id);
+  if (step.lasting || IsOver(job.state)) return;
+  failed.push_back(end.run);
+  dirty_.insert(&job);
+  const Queue* queue = QueueOf(job);
+  const int attempts = queue ? queue->attempts : 1;
+  if (!task.done && static_cast<int>(failed.size()) >= attempts) {
+    LogLine(LogLevel::kInfo, "job_failed")
+        .With("job", job.id)
+        .With("task", end.task.ToText())
+        .With("attempts", attempts);
+    FailJob(job, now);
+  }
+}
+
+void Scheduler::MarkDone(Job& job, const TaskId& id, Millis now) {
+  Occurrence& occurrence = job.occurrences[id.occurrence];
+  Step& step = occurrence.steps[id.step];
+  const StepSpec& spec = job.spec.steps[id.step];
+  const int before = step.done;
+  if (spec.gang) {
+    for (Task& it : step.tasks) it.done = true;
+    step.done = spec.task_count;
+  } else if (!step.tasks[id.index].done) {
+    step.tasks[id.index].done = true;
+    ++step.done;
+  }
+  if (step.done == before) return;
+  if (!IsOver(job.state)) dirty_.insert(&job);
+  if (step.tasks[id.index].live > 0) StopAll(job);
+  if (step.done < spec.task_count) return;
+  if (++occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
+    return;
+  }
+  if (++job.occurrences_done < static_cast<int>(job.occurrences.size())) {
+    return;
+  }
+  if (IsOver(job.state)) return;
+  job.state = JobState::kCompleted;
+  job.over_since = now;
+  open_.erase(&job);
+  LogLine(LogLevel::kInfo, "job_completed")
+      .With("job", job.id)
+      .With("queue", job.queue)
+      .With("after_ms", (now - job.accepted).count)
+      .With("objective_ms", (job.objective - job.accepted).count);
+}
+
+void Scheduler::CountFailure(Worker& worker, const Job& job, Millis now) {
+  if (worker.last_failed_job == job.id) return;
+  worker.last_failed_job = job.id;
+  if (++worker.failures < kFailuresToEject) return;
+  worker.failures = kFailuresToEject - 1;
+  worker.ejected_until = now + kEjection;
+  LogLine(LogLevel::kWarning, "worker_ejected")
+      .With("worker", worker.entry.id)
+      .With("failures", kFailuresToEject)
+      .With("for_ms", kEjection.count);
+}
+
+// Stops a run that stands still, so that its task runs elsewhere.
+void Scheduler::CheckProgress(Worker& worker, Run& run, Millis now) {
+  const StepSpec& step = run.job->spec.steps[run.task.step];
+  if (run.stop_wanted || run.stop_in_flight || run.pace < 100) return;
+  if (step.lasting && run.percent >= 100) return;
+  const Millis limit = step.lasting ? kStartupLimit : kStandstill;
+  if (now - run.progress_at < limit) return;
+  run.stop_wanted = worker.stops_wanted = true;
+  run.progress_at = now;
+  TaskOf(*run.job, run.task).avoid.push_back(worker.entry.id);
+  CountFailure(worker, *run.job, now);
+  LogLine(LogLevel::kInfo, "run_stands_still")
+      .With("task", run.task.ToText())
+      .With("worker", worker.entry.id)
+      .With("percent", run.percent)
+      .With("for_ms", limit.count);
+}
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/jobs/scheduler.cc
@@ -0,0 +1,421 @@
+#include "jobs/scheduler.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "jobs/rows.h"
+
+namespace hemlockward::jobs {
+
+using base::LogLevel;
+using base::LogLine;
+
+namespace {
+
+// Run numbers of one term; a term never starts one task this often.
+constexpr int kRunsPerTerm = 1000;
+// The longest a batch may be; the platform allows 100 rows a transaction.
+constexpr std::size_t kMostRows = 80;
+constexpr Millis kExpiryInterval = base::Seconds(1);
+
+Millis LongestChain(const JobSpec& spec) {
+  std::vector<Millis> ends;
+  Millis longest{0};
+  for (const StepSpec& step : spec.steps) {
+    Millis start{0};
+    for (const int it : step.after) start = std::max(start, ends[it]);
+    ends.push_back(start + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+}  // namespace
+
+std::string_view ToText(JobState state) {
+  switch (state) {
+    case JobState::kPending:
+      return "pending";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "running";
+}
+
+void Scheduler::BeginTerm(std::uint64_t term, Millis unheard_by) {
+  term_ = term;
+  unheard_by_ = unheard_by;
+  open_.clear();
+  dirty_.clear();
+  rows_.clear();
+  workers_.clear();
+  tickets_.clear();
+  jobs_.clear();
+  run_count_ = 0;
+}
+
+void Scheduler::SetConfiguration(const Configuration& config) {
+  config_ = config;
+  for (const Queue& it : config.queues) queues_[it.name] = it;
+}
+
+const Queue* Scheduler::QueueOf(const Job& job) const {
+  const auto it = queues_.find(job.queue);
+  return it == queues_.end() ? nullptr : &it->second;
+}
+
+const std::string& Scheduler::PoolOf(const Job& job) const {
+  const Queue* queue = QueueOf(job);
+  return queue ? queue->service : job.service;
+}
+
+int Scheduler::NextRun(const Task& task) const {
+  const int first = static_cast<int>(term_) * kRunsPerTerm + 1;
+  return std::max(first, task.last_run + 1);
+}
+
+Job& Scheduler::AddJob(std::string id, std::string queue, JobSpec spec,
+                       Millis now) {
+  auto job = std::make_unique<Job>();
+  job->id = std::move(id);
+  job->queue = std::move(queue);
+  job->spec = std::move(spec);
+  job->accepted = now;
+  job->chain = LongestChain(job->spec);
+  Occurrence occurrence;
+  for (const StepSpec& it : job->spec.steps) {
+    Step step;
+    step.tasks.resize(static_cast<std::size_t>(it.task_count));
+    for (Task& task : step.tasks) task.idle_since = now;
+    occurrence.steps.push_back(std::move(step));
+    job->lasting = job->lasting || it.lasting;
+  }
+  const int count = std::max(1, job->spec.occurrences);
+  job->occurrences.assign(static_cast<std::size_t>(count), occurrence);
+  Job& added = *job;
+  jobs_[added.id] = std::move(job);
+  open_.insert(&added);
+  return added;
+}
+
+Submission Scheduler::Submit(const Queue& queue, std::string id, JobSpec spec,
+                             std::string source, Millis now, WallMillis wall) {
+  if (jobs_.contains(id)) return Submission::kKnown;
+  Job& job = AddJob(std::move(id), queue.name, std::move(spec), now);
+  job.service = queue.service;
+  job.source = std::move(source);
+  job.accepted_wall = wall;
+  const double stretched = queue.stretch * static_cast<double>(job.chain.count);
+  job.objective =
+      now + queue.target + Millis{static_cast<std::int64_t>(stretched)};
+  dirty_.insert(&job);
+  return Submission::kQueued;
+}
+
+const Job* Scheduler::FindJob(std::string_view id) const {
+  const auto it = jobs_.find(std::string(id));
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+void Scheduler::Withdraw(std::string_view id) {
+  const auto it = jobs_.find(std::string(id));
+  if (it == jobs_.end() || it->second->stored) return;
+  open_.erase(it->second.get());
+  dirty_.erase(it->second.get());
+  jobs_.erase(it);
+}
+
+bool Scheduler::Cancel(std::string_view id, Millis now) {
+  const auto it = jobs_.find(std::string(id));
+  if (it == jobs_.end()) return false;
+  Job& job = *it->second;
+  if (IsOver(job.state)) return true;
+  job.state = JobState::kCancelled;
+  job.over_since = now;
+  open_.erase(&job);
+  dirty_.insert(&job);
+  StopAll(job);
+  return true;
+}
+
+void Scheduler::FailJob(Job& job, Millis now) {
+  job.state = JobState::kFailed;
+  job.over_since = now;
+  open_.erase(&job);
+  dirty_.insert(&job);
+  StopAll(job);
+}
+
+void Scheduler::StopAll(Job& job) {
+  if (job.live == 0) return;
+  for (auto& [id, worker] : workers_) {
+    for (auto& [task, run] : worker.runs) {
+      if (run.job != &job) continue;
+      run.stop_wanted = true;
+      worker.stops_wanted = true;
+    }
+  }
+}
+
+std::size_t Scheduler::Pending(std::string_view queue) const {
+  std::size_t n = 0;
+  for (const Job* it : open_) {
+    if (it->queue == queue && it->stored && it->state == JobState::kPending) {
+      ++n;
+    }
+  }
+  return n;
+}
+
+void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
+  const auto [it, fresh] = workers_.try_emplace(entry.id);
+  Worker& worker = it->second;
+  if (fresh) worker.idle_since = now;
+  if (entry.born > 0 && worker.born > 0 && entry.born > worker.born) {
+    ReleaseAll(worker, now);
+    worker.adopted = false;
+    worker.reported = worker.committed = worker.confirmed = 0;
+    worker.born = entry.born;
+  }
+  const bool moved = !fresh && worker.entry.service != entry.service;
+  worker.entry = entry;
+  worker.listed = true;
+  if (fresh || moved) {
+    LogLine(LogLevel::kInfo, "worker_listed")
+        .With("worker", entry.id)
+        .With("service", entry.service)
+        .With("address", entry.address);
+  }
+}
+
+void Scheduler::RemoveWorker(std::string_view id, Millis) {
+  Worker* worker = FindWorker(id);
+  if (worker) worker->listed = false;
+}
+
+void Scheduler::EndWorker(std::string_view id, Millis now) {
+  Worker* worker = FindWorker(id);
+  if (!worker || worker->ended) return;
+  ReleaseAll(*worker, now);
+  worker->ended = true;
+  if (worker->stored) rows_.push_back({kWorkerTable, worker->entry.id, "", true});
+  worker->stored = false;
+}
+
+Worker* Scheduler::FindWorker(std::string_view id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+bool Scheduler::HasChanges() const {
+  if (!dirty_.empty() || !rows_.empty()) return true;
+  return std::any_of(workers_.begin(), workers_.end(), [](const auto& it) {
+    const Worker& worker = it.second;
+    return worker.reported > worker.committed ||
+           (worker.adopted && !worker.stored && !worker.ended);
+  });
+}
+
+Batch Scheduler::TakeBatch() {
+  Batch batch;
+  batch.rows = std::move(rows_);
+  rows_.clear();
+  for (auto& [id, worker] : workers_) {
+    if (!worker.adopted || worker.stored || worker.ended) continue;
+    batch.rows.push_back({kWorkerTable, id, EncodeWorkerRow(worker)});
+    batch.workers.push_back(id);
+  }
+  while (!dirty_.empty() && batch.rows.size() < kMostRows) {
+    Job& job = **dirty_.begin();
+    dirty_.erase(dirty_.begin());
+    const bool over = IsOver(job.state);
+    if (!job.stored && !over) {
+      batch.rows.push_back({kJobTable, job.id, EncodeJobRow(job)});
+    }
+    if (job.stored && over) {
+      batch.rows.push_back({kJobTable, job.id, "", true});
+    }
+    if (job.stored || over) {
+      batch.rows.push_back({kProgressTable, job.id, EncodeProgressRow(job)});
+    }
+    batch.shown.emplace_back(job.id, job.state);
+  }
+  if (!dirty_.empty()) return batch;
+  for (auto& [id, worker] : workers_) {
+    if (worker.reported > worker.committed) {
+      batch.ends.emplace_back(id, worker.reported);
+    }
+  }
+  return batch;
+}
+
+void Scheduler::OnCommitted(const Batch& batch) {
+  for (const auto& [id, state] : batch.shown) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end()) continue;
+    Job& job = *it->second;
+    job.stored = true;
+    job.shown = state;
+  }
+  for (const auto& [id, number] : batch.ends) {
+    if (Worker* worker = FindWorker(id)) {
+      worker->committed = std::max(worker->committed, number);
+    }
+  }
+  for (const std::string& id : batch.workers) {
+    Worker* worker = FindWorker(id);
+    if (worker && !worker->ended) worker->stored = true;
+  }
+}
+
+void Scheduler::OnCommitFailed(const Batch& batch) {
+  for (const auto& [id, state] : batch.shown) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) dirty_.insert(it->second.get());
+  }
+  for (const RowWrite& it : batch.rows) {
+    const bool rebuilt = it.table == kJobTable || it.table == kProgressTable;
+    if (it.remove || !rebuilt) rows_.push_back(it);
+  }
+}
+
+bool Scheduler::LoadJob(
+    std::string_view key, std::string_view value,
+    const std::function<std::optional<JobSpec>(std::string_view)>& decode,
+    Millis now, WallMillis wall) {
+  auto row = DecodeJobRow(value);
+  if (!row) return false;
+  auto spec = decode(row->source);
+  if (!spec) return false;
+  Job& job = AddJob(std::string(key), row->queue, *std::move(spec), now);
+  job.service = row->service;
+  job.source = std::move(row->source);
+  job.accepted_wall = row->accepted;
+  job.accepted = now - (wall - row->accepted);
+  const Queue* queue = QueueOf(job);
+  const double stretch = queue ? queue->stretch : 1;
+  const double stretched = stretch * static_cast<double>(job.chain.count);
+  job.objective = job.accepted + Millis{static_cast<std::int64_t>(stretched)};
+  if (queue) job.objective += queue->target;
+  job.stored = true;
+  job.earlier_term = true;
+  for (Occurrence& occurrence : job.occurrences) {
+    for (Step& step : occurrence.steps) {
+      for (Task& task : step.tasks) task.unseen = true;
+    }
+  }
+  return true;
+}
+
+bool Scheduler::LoadProgress(std::string_view key, std::string_view value,
+                             Millis now) {
+  auto it = jobs_.find(std::string(key));
+  if (it == jobs_.end()) {
+    // The job's own row is removed once it is over.
+    auto job = std::make_unique<Job>();
+    job->id = key;
+    job->stored = true;
+    it = jobs_.emplace(job->id, std::move(job)).first;
+  }
+  Job& job = *it->second;
+  if (!DecodeProgressRow(value, job)) return false;
+  job.shown = job.state;
+  if (IsOver(job.state)) {
+    open_.erase(&job);
+    job.over_since = now;
+  }
+  return true;
+}
+
+void Scheduler::LoadWorker(std::string_view id, std::string_view value,
+                           Millis now) {
+  Worker& worker = workers_[std::string(id)];
+  const bool listed = !worker.entry.id.empty();
+  const bool read = DecodeWorkerRow(value, worker, !listed);
+  if (!read) {
+    LogLine(LogLevel::kWarning, "worker_row_unreadable").With("worker", id);
+  }
+  worker.entry.id = id;
+  worker.listed = listed;
+  worker.stored = true;
+  worker.from_earlier_term = true;
+  worker.lease_by = unheard_by_;
+  worker.idle_since = now;
+}
+
+// Forgets jobs that have been over for long and workers that are gone.
+void Scheduler::Expire(Millis now) {
+  if (now - last_expiry_ < kExpiryInterval) return;
+  last_expiry_ = now;
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    Job& job = *it->second;
+    const bool old = IsOver(job.state) && job.live == 0 && job.stored &&
+                     !dirty_.contains(&job) &&
+                     now - job.over_since > settings_.retention;
+    if (!old) {
+      ++it;
+      continue;
+    }
+    rows_.push_back({kProgressTable, job.id, "", true});
+    it = jobs_.erase(it);
+  }
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    Worker& worker = it->second;
+    const bool gone = !worker.listed && worker.runs.empty() &&
+                      (worker.ended || now > worker.lease_by);
+    if (!gone) {
+      ++it;
+      continue;
+    }
+    if (worker.stored) rows_.push_back({kWorkerTable, it->first, "", true});
+    it = workers_.erase(it);
+  }
+}
+
+PoolDemand Scheduler::Demand(std::string_view service) const {
+  PoolDemand demand;
+  for (const Job* job : open_) {
+    if (PoolOf(*job) != service) continue;
+    for (const Occurrence& occurrence : job->occurrences) {
+      std::int64_t later = 0;
+      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const StepSpec& spec = job->spec.steps[i];
+        const Step& step = occurrence.steps[i];
+        if (spec.fills) continue;
+        const bool open =
+            std::all_of(spec.after.begin(), spec.after.end(), [&](int n) {
+              return occurrence.steps[n].done ==
+                     job->spec.steps[n].task_count;
+            });
+        const std::int64_t left = spec.task_count - step.done;
+        if (!open) {
+          later = std::max(later, left * spec.need.cpu_milli);
+          continue;
+        }
+        std::int64_t live = 0;
+        for (const Task& task : step.tasks) live += task.live > 0 ? 1 : 0;
+        demand.running_cpu += live * spec.need.cpu_milli;
+        const std::int64_t ready = std::max<std::int64_t>(0, left - live);
+        demand.ready_cpu += ready * spec.need.cpu_milli;
+        if (ready > 0) {
+          demand.widest_task =
+              std::max(demand.widest_task, spec.need.cpu_milli);
+        }
+      }
+      demand.later_cpu += later;
+    }
+  }
+  return demand;
+}
+
+bool Scheduler::IsIdle(const Worker& worker) const {
+  return worker.runs.empty() && worker.reported == worker.confirmed;
+}
+
+}  // namespace hemlockward::jobs
--- /dev/null
+++ b/src/node/calls.cc
@@ -0,0 +1,226 @@
+// Clients' calls on jobs: answered by the leader, passed on by the others.
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "node/process.h"
+#include "peer/gen/peer_types.h"
+
+namespace hemlockward::node {
+
+using base::LogLevel;
+using base::LogLine;
+
+namespace {
+
+constexpr std::size_t kIdLength = 16;
+/// A pause between tries while no node leads or the leader can't be reached.
+constexpr Millis kRetryPause{60};
+/// What the answer needs on its way back to the client.
+constexpr Millis kReturnTime{150};
+/// One try at the leader; a silent connection is given up after this.
+constexpr Millis kForwardTimeout{900};
+/// Without a leader a request waits this long for one, then is refused.
+constexpr Millis kLeaderWait{1500};
+/// A commit that takes this long shows that the store is away: the store
+/// answers in 4 ms, slowed sixtyfold in 240 ms.
+constexpr Millis kStoreStall{800};
+/// Answers that say "no such job" need a renewal this recent.
+constexpr Millis kFreshLease{2500};
+constexpr std::int64_t kRetryAfterS = 1;
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kIdLength &&
+         text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
+Reply Refused(int status, std::string_view reason) {
+  return {status, "{\"error\":\"" + std::string(reason) + "\"}",
+          status == 503 || status == 429 ? kRetryAfterS : 0};
+}
+
+}  // namespace
+
+Awaitable<Reply> NodeProcess::Route(Call call) {
+  if (config_.version == 0) co_return Refused(503, "no configuration yet");
+  if (!config_.Match(call.host, call.path)) {
+    co_return Refused(404, "no such queue");
+  }
+  const Millis begin = clock_.Now();
+  const Millis limit = call.deadline - kReturnTime;
+  bool may_have_run = false;
+  while (true) {
+    Reply reply;
+    if (leads_) {
+      Call copy = call;
+      reply = co_await Handle(std::move(copy));
+    } else {
+      reply = co_await Forward(call, &may_have_run);
+    }
+    if (reply.status != 0) {
+      // An earlier try that got no answer may have handed the job in.
+      const bool refused = reply.status == 503 || reply.status == 429;
+      if (refused && may_have_run && call.method == "POST") reply.status = 504;
+      co_return reply;
+    }
+    const Millis now = clock_.Now();
+    if (now >= limit || now - begin >= kLeaderWait) break;
+    co_await kernel::Sleep(kRetryPause);
+  }
+  LogLine(LogLevel::kWarning, "request_without_leader")
+      .With("path", call.path)
+      .With("method", call.method)
+      .With("waited_ms", (clock_.Now() - begin).count)
+      .With("may_have_run", may_have_run);
+  if (may_have_run && call.method == "POST") {
+    co_return Refused(504, "the leader didn't answer");
+  }
+  co_return Refused(503, "no leader");
+}
+
+// Status 0: nothing was answered; `may_have_run` says whether it may be done.
+Awaitable<Reply> NodeProcess::Forward(const Call& call, bool* may_have_run) {
+  Reply reply;
+  reply.status = 0;
+  if (!lease_.lease || lease_.lease->released ||
+      lease_.lease->incarnation == incarnation_) {
+    co_return reply;
+  }
+  const Millis left = call.deadline - kReturnTime - clock_.Now();
+  if (left.count <= 0) co_return reply;
+  peer::gen::JobCall out;
+  out.__set_method(call.method);
+  out.__set_host(call.host);
+  out.__set_path(call.path);
+  out.__set_body(call.body);
+  out.__set_remaining_ms(left.count);
+  out.__set_config_version(static_cast<std::int64_t>(config_.version));
+  peer::gen::Message message;
+  message.__set_job_call(out);
+  const std::string address = lease_.lease->address;
+  auto answer = co_await peers_.Call(address, std::move(message),
+                                     std::min(left, kForwardTimeout));
+  if (!answer) {
+    if (answer.error().failure != peer::PeerFailure::kNotSent) {
+      *may_have_run = true;
+    }
+    holder_gone_ = holder_gone_ || answer.error().refused;
+    co_return reply;
+  }
+  if (!answer->__isset.job_reply) co_return reply;
+  reply.status = answer->job_reply.status;
+  reply.body = std::move(answer->job_reply.body);
+  reply.retry_after_s = answer->job_reply.retry_after_s;
+  co_return reply;
+}
+
+// The leader's part. Status 0 when this node doesn't lead (any more).
+Awaitable<Reply> NodeProcess::Handle(Call call) {
+  while (leads_ && !loaded_ && clock_.Now() < call.deadline - kReturnTime) {
+    co_await stored_signal_.Wait(kRetryPause);
+  }
+  if (!leads_ || !loaded_) co_return Reply{0, {}, 0};
+  const jobs::Queue* queue = config_.Match(call.host, call.path);
+  if (!queue) co_return Refused(404, "no such queue");
+  std::string id = call.path.substr(queue->path_prefix.size());
+  if (id.empty() && call.method == "GET") {
+    co_return Reply{
+        200, platform::EncodePending(scheduler_.Pending(queue->name)), 0};
+  }
+  if (!IsJobId(id)) co_return Refused(400, "id is not 16 hexadecimal digits");
+  if (call.method == "POST") {
+    const jobs::Queue copy = *queue;
+    co_return co_await Submit(copy, std::move(id), std::move(call));
+  }
+  if (call.method == "GET") co_return State(id);
+  if (call.method == "DELETE") {
+    co_return co_await Cancel(std::move(id), std::move(call));
+  }
+  co_return Refused(405, "method not allowed");
+}
+
+Awaitable<Reply> NodeProcess::Submit(const jobs::Queue& queue, std::string id,
+                                     Call call) {
+  const std::uint64_t term = term_;
+  const Millis begin = clock_.Now();
+  if (!scheduler_.FindJob(id)) {
+    if (committing_ && begin - commit_started_ > kStoreStall) {
+      co_return Refused(503, "the store is not answering");
+    }
+    auto spec = platform::DecodeJob(call.body);
+    if (!spec) {
+      LogLine(LogLevel::kInfo, "job_rejected")
+          .With("job", id)
+          .With("queue", queue.name)
+          .With("error", spec.error().what);
+      co_return Refused(400, "job: " + spec.error().what);
+    }
+    scheduler_.Submit(queue, id, *std::move(spec), std::move(call.body), begin,
+                      clock_.Wall());
+    commit_signal_.Notify();
+  }
+  const Millis limit = call.deadline - kReturnTime;
+  while (Leads(term)) {
+    const jobs::Job* job = scheduler_.FindJob(id);
+    if (!job) co_return Refused(503, "withdrawn");
+    if (job->stored) {
+      LogLine(LogLevel::kInfo, "job_accepted")
+          .With("job", id)
+          .With("queue", queue.name)
+          .With("config", config_.version)
+          .With("after_ms", (clock_.Now() - begin).count);
+      co_return Reply{200, "{}", 0};
+    }
+    if (clock_.Now() >= limit) break;
+    co_await stored_signal_.Wait(limit - clock_.Now());
+  }
+  LogLine(LogLevel::kWarning, "job_not_stored")
+      .With("job", id)
+      .With("leads", Leads(term))
+      .With("waited_ms", (clock_.Now() - begin).count);
+  co_return Refused(504, "not known whether the job was stored");
+}
+
+Reply NodeProcess::State(std::string_view id) {
+  const jobs::Job* job = scheduler_.FindJob(id);
+  if (!job || !job->stored) {
+    if (clock_.Now() - renewed_ > kFreshLease) {
+      return Refused(503, "the store is not answering");
+    }
+    return Refused(410, "no such job");
+  }
+  jobs::JobState state = job->state;
+  if (jobs::IsOver(state) && job->shown != state) {
+    state = jobs::JobState::kRunning;
+  }
+  return {200, platform::EncodeJobState(jobs::ToText(state)), 0};
+}
+
+Awaitable<Reply> NodeProcess::Cancel(std::string id, Call call) {
+  const std::uint64_t term = term_;
+  const Millis begin = clock_.Now();
+  if (!scheduler_.Cancel(id, begin)) {
+    if (begin - renewed_ > kFreshLease) {
+      co_return Refused(503, "the store is not answering");
+    }
+    co_return Refused(410, "no such job");
+  }
+  commit_signal_.Notify();
+  Kick();
+  const Millis limit = call.deadline - kReturnTime;
+  while (Leads(term)) {
+    const jobs::Job* job = scheduler_.FindJob(id);
+    if (!job || jobs::IsOver(job->shown)) {
+      LogLine(LogLevel::kInfo, "job_cancelled")
+          .With("job", id)
+          .With("after_ms", (clock_.Now() - begin).count);
+      co_return Reply{200, "{}", 0};
+    }
+    if (clock_.Now() >= limit) break;
+    co_await stored_signal_.Wait(limit - clock_.Now());
+  }
+  co_return Refused(504, "not known whether the cancel was stored");
+}
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/leader.cc
@@ -0,0 +1,394 @@
+// What the leader does: follows the workers, keeps their leases, gives orders.
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "node/process.h"
+
+namespace hemlockward::node {
+
+using base::LogLevel;
+using base::LogLine;
+using platform::CallFailure;
+
+namespace {
+
+constexpr const char* kWorkersTable = "servers";
+constexpr const char* kStatusTable = "status";
+constexpr Millis kReadTimeout{1500};
+constexpr Millis kFeedWait = base::Seconds(5);
+constexpr Millis kRetryPause{150};
+/// A start or stop that isn't answered by then counts as unanswered.
+constexpr Millis kOrderTimeout{1000};
+/// How long a worker waits for an end before it reports. Bounds the age of
+/// what is known of progress; well below the workers' lease.
+constexpr Millis kReportWait{900};
+constexpr Millis kReportSlack{800};
+/// Ends are acknowledged with the next report once they are committed.
+constexpr Millis kCommitWait{300};
+/// Answers that come together are planned for together.
+constexpr Millis kPlanDelay{2};
+constexpr Millis kPlanInterval{250};
+constexpr Millis kFleetInterval{100};
+constexpr Millis kMachineTimeout{1500};
+constexpr Millis kIdleCheck = base::Seconds(1);
+
+}  // namespace
+
+Awaitable<bool> NodeProcess::ReadWorkers(std::uint64_t term) {
+  std::set<std::string> seen;
+  std::string from;
+  while (Leads(term)) {
+    auto page = co_await platform_.Read(kWorkersTable, "", from, kReadTimeout);
+    if (!page) co_return false;
+    for (const platform::StoreRow& it : page->rows) {
+      seen.insert(it.key);
+      ApplyWorkerRow(it);
+    }
+    workers_version_ = std::max(workers_version_, page->version);
+    if (!page->more || page->rows.empty()) break;
+    from = page->rows.back().key + '\0';
+  }
+  if (!Leads(term)) co_return false;
+  std::vector<std::string> gone;
+  for (const auto& [id, worker] : scheduler_.workers()) {
+    if (!seen.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) {
+    scheduler_.RemoveWorker(id, clock_.Now());
+  }
+  WatchWorkers(term);
+  co_return true;
+}
+
+void NodeProcess::ApplyWorkerRow(const platform::StoreRow& row) {
+  const Millis now = clock_.Now();
+  if (row.removed) {
+    scheduler_.RemoveWorker(row.key, now);
+    return;
+  }
+  auto entry = platform::DecodeWorker(row.key, row.value);
+  if (!entry) {
+    LogLine(LogLevel::kDebug, "worker_entry_unreadable")
+        .With("key", row.key)
+        .With("error", entry.error().what);
+    scheduler_.RemoveWorker(row.key, now);
+    return;
+  }
+  scheduler_.UpsertWorker(*entry, now);
+}
+
+// Sees to it that each worker is watched by one coroutine.
+void NodeProcess::WatchWorkers(std::uint64_t term) {
+  for (const auto& [id, worker] : scheduler_.workers()) {
+    if (!held_.insert(id).second) continue;
+    auto& signal = hold_signals_[id];
+    if (!signal) signal = std::make_unique<kernel::Signal>(pool_.context());
+    pool_.Spawn("hold", HoldLoop(term, id));
+  }
+}
+
+Awaitable<void> NodeProcess::FollowWorkers(std::uint64_t term) {
+  bool read = false;
+  WatchWorkers(term);
+  while (Leads(term)) {
+    if (!read) {
+      read = co_await ReadWorkers(term);
+      if (!read) co_await kernel::Sleep(kRetryPause);
+      Kick();
+      continue;
+    }
+    auto page = co_await platform_.Changes(kWorkersTable, workers_version_,
+                                           kFeedWait);
+    if (!Leads(term)) co_return;
+    if (!page) {
+      LogLine(LogLevel::kWarning, "worker_feed_lost")
+          .With("after", workers_version_)
+          .With("error", page.error().what);
+      read = false;
+      if (page.error().failure != CallFailure::kHistoryLost) {
+        co_await kernel::Sleep(kRetryPause);
+      }
+      continue;
+    }
+    for (const platform::StoreRow& it : page->rows) ApplyWorkerRow(it);
+    workers_version_ = std::max(workers_version_, page->version);
+    WatchWorkers(term);
+    Kick();
+  }
+}
+
+Awaitable<void> NodeProcess::HoldLoop(std::uint64_t term, std::string id) {
+  while (Leads(term)) {
+    jobs::Worker* worker = scheduler_.FindWorker(id);
+    if (!worker) break;
+    const bool wanted = !worker->adopted || worker->silent ||
+                        !worker->runs.empty() ||
+                        worker->reported > worker->confirmed;
+    kernel::Signal& signal = *hold_signals_.at(id);
+    if (worker->ended || !wanted || worker->entry.address.empty()) {
+      co_await signal.Wait(kIdleCheck);
+      continue;
+    }
+    if (!MayOrder()) {
+      co_await signal.Wait(kRetryPause);
+      continue;
+    }
+    if (worker->reported > worker->committed) {
+      commit_signal_.Notify();
+      co_await signal.Wait(kCommitWait);
+    }
+    if (Leads(term)) co_await HoldOnce(term, id);
+  }
+  if (Leads(term)) {
+    held_.erase(id);
+    hold_signals_.erase(id);
+  }
+}
+
+Awaitable<void> NodeProcess::HoldOnce(std::uint64_t term, std::string id) {
+  jobs::Worker* worker = scheduler_.FindWorker(id);
+  if (!worker || !MayOrder()) co_return;
+  const Millis sent = clock_.Now();
+  const bool wait = worker->adopted && !worker->silent &&
+                    !worker->runs.empty() &&
+                    worker->reported == worker->committed;
+  const std::int64_t acknowledged = worker->committed;
+  const std::int64_t deadline = scheduler_.LeaseEnd(*worker, sent);
+  const Millis report_wait = wait ? kReportWait : Millis{0};
+  scheduler_.NoteLease(*worker, sent);
+  std::string body =
+      platform::EncodeHold(fence_, acknowledged, deadline, report_wait);
+  const jobs::WorkerEntry entry = worker->entry;
+  const std::int64_t born = worker->born;
+  auto report = co_await platform_.Hold(entry, std::move(body),
+                                        report_wait + kReportSlack);
+  if (!Leads(term)) co_return;
+  worker = scheduler_.FindWorker(id);
+  if (!worker) co_return;
+  const Millis now = clock_.Now();
+  if (!report) {
+    if (!worker->silent) {
+      LogLine(LogLevel::kWarning, "worker_silent")
+          .With("worker", id)
+          .With("address", entry.address)
+          .With("runs", worker->runs.size())
+          .With("error", report.error().what);
+    }
+    worker->silent = true;
+    // A refusal may come from a newer leader's fence: the commit will tell.
+    if (report.error().failure == CallFailure::kConflict) {
+      commit_signal_.Notify();
+    }
+    co_await hold_signals_.at(id)->Wait(kRetryPause);
+    co_return;
+  }
+  const bool first = !worker->adopted;
+  scheduler_.OnReport(id, *report, sent, now);
+  if (worker->born == born || born == 0) {
+    worker->confirmed = std::max(worker->confirmed, acknowledged);
+  }
+  if (scheduler_.HasChanges()) commit_signal_.Notify();
+  if (first) commit_signal_.Notify();
+  Kick();
+  // Unacknowledged ends are listed again at once while the store is away.
+  if (worker->reported > worker->committed && !wait) {
+    co_await hold_signals_.at(id)->Wait(kRetryPause);
+  }
+}
+
+Awaitable<void> NodeProcess::PlanLoop(std::uint64_t term) {
+  while (Leads(term)) {
+    if (!plan_due_) co_await plan_signal_.Wait(kPlanInterval);
+    co_await kernel::Sleep(kPlanDelay);
+    plan_due_ = false;
+    if (!Leads(term)) co_return;
+    Execute(term, scheduler_.Plan(clock_.Now(), clock_.Wall(), MayOrder()));
+    if (scheduler_.HasChanges()) commit_signal_.Notify();
+  }
+}
+
+void NodeProcess::Execute(std::uint64_t term, jobs::Orders orders) {
+  std::set<std::string> started;
+  for (jobs::StartOrder& it : orders.starts) {
+    started.insert(it.worker);
+    pool_.Spawn("start", ExecuteStart(term, std::move(it)));
+  }
+  for (const std::string& id : started) {
+    const auto it = hold_signals_.find(id);
+    if (it != hold_signals_.end()) it->second->Notify();
+  }
+  for (jobs::StopOrder& it : orders.stops) {
+    pool_.Spawn("stop_run", ExecuteStop(term, std::move(it)));
+  }
+  for (jobs::PaceOrder& it : orders.paces) {
+    pool_.Spawn("pace", ExecutePace(term, std::move(it)));
+  }
+  for (auto& [step, workers] : orders.advice) {
+    pool_.Spawn("advice", ExecuteAdvice(term, step, std::move(workers)));
+  }
+}
+
+Awaitable<void> NodeProcess::ExecuteStart(std::uint64_t term,
+                                          jobs::StartOrder order) {
+  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  const jobs::Job* job = scheduler_.FindJob(order.task.job);
+  const Millis sent = clock_.Now();
+  if (!worker || !job || !MayOrder()) {
+    scheduler_.OnStart(order, jobs::StartAnswer::kRefused, sent, sent);
+    co_return;
+  }
+  const jobs::WorkerEntry entry = worker->entry;
+  const std::string payload = job->spec.payload;
+  platform::StartRequest request{order.task,       order.run,
+                                 payload,          order.deadline_ms,
+                                 fence_,           order.checkpoint,
+                                 order.ticket};
+  platform::OrderReply reply;
+  const auto answer =
+      co_await platform_.Start(entry, request, kOrderTimeout, &reply);
+  const Millis now = clock_.Now();
+  metrics_.Observe("hemlockward_start_ms", "",
+                   static_cast<double>((now - sent).count));
+  LogLine(LogLevel::kInfo, "run_started")
+      .With("task", order.task.ToText())
+      .With("run", order.run)
+      .With("worker", order.worker)
+      .With("fence", fence_)
+      .With("answer", static_cast<int>(answer))
+      .With("reason", reply.reason)
+      .With("ms", (now - sent).count);
+  if (!Leads(term)) co_return;
+  scheduler_.OnStart(order, answer, sent, now);
+  if (answer == jobs::StartAnswer::kFenced) commit_signal_.Notify();
+  if (answer != jobs::StartAnswer::kStarted) Kick();
+}
+
+Awaitable<void> NodeProcess::ExecuteStop(std::uint64_t term,
+                                         jobs::StopOrder order) {
+  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  bool answered = false;
+  if (worker && MayOrder()) {
+    const jobs::WorkerEntry entry = worker->entry;
+    std::string body = platform::EncodeStop(order.task, order.run, fence_);
+    answered = co_await platform_.Stop(entry, std::move(body), kOrderTimeout);
+  }
+  LogLine(LogLevel::kInfo, "run_stopped")
+      .With("task", order.task.ToText())
+      .With("run", order.run)
+      .With("worker", order.worker)
+      .With("answered", answered);
+  if (!Leads(term)) co_return;
+  scheduler_.OnStop(order, answered, clock_.Now());
+}
+
+Awaitable<void> NodeProcess::ExecutePace(std::uint64_t term,
+                                         jobs::PaceOrder order) {
+  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  if (!worker || !MayOrder() || !Leads(term)) co_return;
+  const jobs::WorkerEntry entry = worker->entry;
+  std::string body =
+      platform::EncodePace(order.task, order.run, order.percent, fence_);
+  const bool done =
+      co_await platform_.Pace(entry, std::move(body), kOrderTimeout);
+  LogLine(LogLevel::kInfo, "run_paced")
+      .With("task", order.task.ToText())
+      .With("worker", order.worker)
+      .With("percent", order.percent)
+      .With("answered", done);
+}
+
+Awaitable<void> NodeProcess::ExecuteAdvice(std::uint64_t term,
+                                           std::string step,
+                                           std::vector<std::string> workers) {
+  constexpr Millis kAdviceTimeout = base::Seconds(5);
+  const Millis sent = clock_.Now();
+  auto advice = co_await platform_.Advise(step, workers, kAdviceTimeout);
+  if (!Leads(term)) co_return;
+  if (!advice) {
+    LogLine(LogLevel::kWarning, "advice_failed")
+        .With("step", step)
+        .With("error", advice.error().what);
+    co_await kernel::Sleep(kRetryPause);
+    if (Leads(term)) {
+      scheduler_.OnAdvice(step, workers, {}, {0}, clock_.Now());
+    }
+  } else {
+    // Counted from when it was asked for, as the service counts.
+    scheduler_.OnAdvice(step, workers, advice->tickets, advice->valid, sent);
+  }
+  Kick();
+}
+
+Awaitable<void> NodeProcess::FleetLoop(std::uint64_t term) {
+  while (Leads(term)) {
+    co_await kernel::Sleep(kFleetInterval);
+    if (!Leads(term) || !MayOrder() || settings_.machines.empty()) continue;
+    const Millis sent = clock_.Now();
+    if (fleet_.WantsListing(sent)) {
+      fleet_.NoteListing(sent);
+      auto machines = co_await platform_.Machines(kMachineTimeout);
+      if (!Leads(term)) co_return;
+      if (!machines) {
+        LogLine(LogLevel::kWarning, "machines_not_listed")
+            .With("error", machines.error().what);
+      } else {
+        fleet_.OnMachines(*machines, scheduler_, sent);
+      }
+    }
+    if (!MayOrder()) continue;
+    for (auto& it : fleet_.Plan(waves_, scheduler_, clock_.Now())) {
+      pool_.Spawn("machine", ExecuteMachine(term, std::move(it)));
+    }
+    co_await WriteWaveStates(term);
+  }
+}
+
+Awaitable<void> NodeProcess::ExecuteMachine(std::uint64_t term,
+                                            jobs::MachineOrder order) {
+  using jobs::MachineAnswer;
+  const platform::Authority authority{settings_.name, fence_};
+  tl::expected<bool, platform::CallError> done;
+  if (order.wave > 0) {
+    done = co_await platform_.Upkeep(authority, order.machine, order.wave,
+                                     kMachineTimeout);
+  } else {
+    done = co_await platform_.Move(authority, order.machine, order.pool,
+                                   kMachineTimeout);
+  }
+  if (!Leads(term)) co_return;
+  MachineAnswer answer = MachineAnswer::kDone;
+  if (!done) {
+    LogLine(LogLevel::kWarning, "machine_order_failed")
+        .With("machine", order.machine)
+        .With("error", done.error().what);
+    answer = done.error().failure == CallFailure::kUnknown
+                 ? MachineAnswer::kUnknown
+                 : MachineAnswer::kBusy;
+  }
+  fleet_.OnAnswer(order, answer, scheduler_, clock_.Now());
+  commit_signal_.Notify();
+  Kick();
+}
+
+Awaitable<void> NodeProcess::WriteWaveStates(std::uint64_t term) {
+  for (const auto& [number, wave] : waves_) {
+    if (!Leads(term)) co_return;
+    const bool complete = fleet_.IsComplete(wave);
+    const auto it = wave_states_.find(number);
+    if (it != wave_states_.end() && it->second == complete) continue;
+    if (it != wave_states_.end() && it->second) continue;
+    platform::StoreTransaction transaction;
+    transaction.writes.push_back({kStatusTable,
+                                  "wave/" + std::to_string(number),
+                                  platform::EncodeWaveState(complete)});
+    auto done = co_await platform_.Commit(transaction, kReadTimeout);
+    if (!done || !Leads(term)) co_return;
+    wave_states_[number] = complete;
+    LogLine(LogLevel::kInfo, "wave_state")
+        .With("wave", number)
+        .With("completed", complete);
+  }
+}
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/leadership.cc
@@ -0,0 +1,319 @@
+// Taking, keeping and giving up the lease, and the commits under it.
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "jobs/rows.h"
+#include "node/process.h"
+#include "peer/gen/peer_types.h"
+
+namespace hemlockward::node {
+
+using base::LogLevel;
+using base::LogLine;
+using platform::CallFailure;
+
+namespace {
+
+constexpr Millis kReadTimeout{1500};
+constexpr Millis kCommitTimeout{1500};
+constexpr Millis kCheckTimeout{400};
+constexpr Millis kCheckInterval{300};
+constexpr Millis kReadInterval{250};
+constexpr Millis kRetryPause{100};
+/// A holder whose newest renewal is older than this may be cut off.
+constexpr Millis kRenewalLate{1600};
+/// Spreads the candidates, so that one transaction usually decides.
+constexpr std::int64_t kMostJitterMs = 60;
+/// A worker's clock may run 2% slow; orders under way take a moment.
+constexpr Millis kLeaseSlack{400};
+
+platform::StoreTransaction ToTransaction(const jobs::Batch& batch) {
+  platform::StoreTransaction transaction;
+  transaction.part = kPart;
+  for (const jobs::RowWrite& it : batch.rows) {
+    transaction.writes.push_back({it.table, it.key, it.value, it.remove});
+  }
+  return transaction;
+}
+
+}  // namespace
+
+Awaitable<void> NodeProcess::WatchLease() {
+  while (!stopping_) {
+    if (leads_) {
+      co_await kernel::Sleep(kCheckInterval);
+      continue;
+    }
+    co_await WatchOnce();
+  }
+}
+
+Awaitable<void> NodeProcess::WatchOnce() {
+  const bool known = lease_.lease && !lease_.lease->released &&
+                     lease_.lease->incarnation != incarnation_;
+  if (known && co_await HolderAnswers()) {
+    co_await kernel::Sleep(kCheckInterval);
+    co_return;
+  }
+  auto page = co_await platform_.Read(kLeaseTable, kPart, "", kReadTimeout);
+  if (!page) {
+    beat_watch_.OnUnreadable();
+    co_await kernel::Sleep(kRetryPause);
+    co_return;
+  }
+  const LeaseView view = ReadLease(page->rows);
+  const bool changed = view.lease_version != lease_.lease_version;
+  if (changed) {
+    holder_gone_ = false;
+    if (view.lease) {
+      LogLine(LogLevel::kInfo, "leader_seen")
+          .With("holder", view.lease->holder)
+          .With("term", view.lease->term)
+          .With("released", view.lease->released);
+    }
+  }
+  lease_ = view;
+  const Millis now = clock_.Now();
+  beat_watch_.OnRead(view, now);
+  const bool free = !view.lease || view.lease->released ||
+                    view.lease->incarnation == incarnation_;
+  if (free || holder_gone_ || beat_watch_.IsSilent(now)) {
+    LogLine(LogLevel::kInfo, "lease_is_free")
+        .With("released", free)
+        .With("holder_gone", holder_gone_)
+        .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
+    co_await kernel::Sleep(
+        {static_cast<std::int64_t>(random_() % kMostJitterMs)});
+    const Millis stopped = free && view.lease ? now : beat_watch_.renewed_before() + kOrderLimit;
+    if (config_.version > 0 && !stopping_) co_await TakeLease(view, stopped);
+    co_return;
+  }
+  co_await kernel::Sleep(kReadInterval);
+}
+
+// True while the holder says that it leads and renews. Evidence that it leads
+// no more is kept in `holder_gone_`.
+Awaitable<bool> NodeProcess::HolderAnswers() {
+  const LeaseRow holder = *lease_.lease;
+  peer::gen::LeaderCheck check;
+  check.__set_incarnation(static_cast<std::int64_t>(incarnation_));
+  peer::gen::Message message;
+  message.__set_leader_check(check);
+  auto answer = co_await peers_.Call(holder.address, std::move(message),
+                                     kCheckTimeout);
+  if (!answer) {
+    holder_gone_ = holder_gone_ || answer.error().refused;
+    co_return false;
+  }
+  if (!answer->__isset.leader_check) co_return false;
+  const peer::gen::LeaderCheck& reply = answer->leader_check;
+  const bool same =
+      static_cast<std::uint64_t>(reply.incarnation) == holder.incarnation;
+  if (!same || !reply.leads) {
+    holder_gone_ = true;
+    co_return false;
+  }
+  holder_gone_ = false;
+  co_return reply.renewal_age_ms < kRenewalLate.count;
+}
+
+// `stopped`: the last holder has given no order after this local time.
+Awaitable<void> NodeProcess::TakeLease(const LeaseView& view, Millis stopped) {
+  const std::uint64_t term = view.lease ? view.lease->term + 1 : 0;
+  LeaseRow row{settings_.name, settings_.peer, incarnation_, term, false};
+  platform::StoreTransaction transaction;
+  transaction.part = kPart;
+  transaction.conditions.push_back(
+      {kLeaseTable, kLeaseKey, view.lease_version});
+  transaction.conditions.push_back({kLeaseTable, kBeatKey, view.beat_version});
+  transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
+  transaction.writes.push_back({kLeaseTable, kBeatKey, EncodeBeat(term, 0)});
+  const Millis sent = clock_.Now();
+  auto version = co_await platform_.Commit(transaction, kCommitTimeout);
+  if (!version) {
+    // A lost answer shows at the next reading: our own incarnation holds the
+    // lease, which counts as free and is taken anew.
+    LogLine(LogLevel::kInfo, "lease_not_taken")
+        .With("term", term)
+        .With("error", version.error().what);
+    beat_watch_.OnUnreadable();
+    co_await kernel::Sleep(kRetryPause);
+    co_return;
+  }
+  leads_ = true;
+  loaded_ = false;
+  term_ = term;
+  fence_ = beat_version_ = *version;
+  beat_number_ = 0;
+  renewed_ = sent;
+  took_over_ = clock_.Now();
+  lease_.lease = row;
+  lease_.lease_version = *version;
+  const Millis lease = settings_.longest_lease + kLeaseSlack;
+  scheduler_.BeginTerm(term, std::max(stopped, took_over_) + lease);
+  scheduler_.SetConfiguration(config_);
+  fleet_.BeginTerm(term == 0 ? took_over_
+                             : std::max(stopped, took_over_) +
+                                   settings_.machine_turn);
+  wave_states_.clear();
+  LogLine(LogLevel::kInfo, "lease_taken")
+      .With("term", term)
+      .With("fence", fence_)
+      .With("last_holder_stopped_in_ms", (stopped - took_over_).count);
+  pool_.Spawn("commit", CommitLoop(term));
+  while (Leads(term) && !co_await Load(term)) co_await kernel::Sleep({50});
+  if (!Leads(term)) co_return;
+  loaded_ = true;
+  LogLine(LogLevel::kInfo, "leading")
+      .With("term", term)
+      .With("jobs", scheduler_.job_count())
+      .With("workers", scheduler_.workers().size())
+      .With("after_ms", (clock_.Now() - took_over_).count);
+  stored_signal_.Notify();
+  pool_.Spawn("workers", FollowWorkers(term));
+  pool_.Spawn("plan", PlanLoop(term));
+  pool_.Spawn("fleet", FleetLoop(term));
+}
+
+Awaitable<bool> NodeProcess::LoadTable(std::uint64_t term, std::string table) {
+  std::string from;
+  while (Leads(term)) {
+    auto page = co_await platform_.Read(table, kPart, from, kReadTimeout);
+    if (!page) co_return false;
+    const Millis now = clock_.Now();
+    for (const platform::StoreRow& it : page->rows) {
+      bool read = true;
+      if (table == jobs::kJobTable) {
+        read = scheduler_.LoadJob(
+            it.key, it.value,
+            [](std::string_view source) -> std::optional<jobs::JobSpec> {
+              auto spec = platform::DecodeJob(source);
+              if (!spec) return std::nullopt;
+              return *std::move(spec);
+            },
+            now, clock_.Wall());
+      } else if (table == jobs::kProgressTable) {
+        read = scheduler_.LoadProgress(it.key, it.value, now);
+      } else if (table == jobs::kWorkerTable) {
+        scheduler_.LoadWorker(it.key, it.value, now);
+      } else {
+        fleet_.LoadWave(it.key, it.value);
+      }
+      if (!read) {
+        LogLine(LogLevel::kError, "row_unreadable")
+            .With("table", table)
+            .With("key", it.key);
+      }
+    }
+    if (!page->more || page->rows.empty()) co_return true;
+    from = page->rows.back().key + '\0';
+  }
+  co_return false;
+}
+
+// Reads everything that lasts. A second try starts anew.
+Awaitable<bool> NodeProcess::Load(std::uint64_t term) {
+  scheduler_.BeginTerm(term, scheduler_.unheard_by());
+  for (const char* it : {jobs::kJobTable, jobs::kProgressTable,
+                         jobs::kWorkerTable, jobs::kWaveTable}) {
+    if (!co_await LoadTable(term, it)) co_return false;
+  }
+  co_return Leads(term);
+}
+
+Awaitable<void> NodeProcess::CommitLoop(std::uint64_t term) {
+  while (Leads(term) && !stopping_) {
+    const Millis due = renewed_ + kRenewInterval - clock_.Now();
+    const bool changes = loaded_ && scheduler_.HasChanges();
+    if (!changes && due.count > 0) {
+      co_await commit_signal_.Wait(due);
+      continue;
+    }
+    if (!co_await CommitOnce(term, false)) co_return;
+  }
+}
+
+// Sends one transaction until it is known to be done or the lease is lost.
+Awaitable<bool> NodeProcess::CommitOnce(std::uint64_t term, bool release) {
+  const jobs::Batch batch = loaded_ ? scheduler_.TakeBatch() : jobs::Batch{};
+  platform::StoreTransaction transaction = ToTransaction(batch);
+  transaction.conditions.push_back({kLeaseTable, kLeaseKey, fence_});
+  transaction.conditions.push_back({kLeaseTable, kBeatKey, beat_version_});
+  const std::string beat = EncodeBeat(term, ++beat_number_);
+  transaction.writes.push_back({kLeaseTable, kBeatKey, beat});
+  if (release) {
+    LeaseRow row{settings_.name, settings_.peer, incarnation_, term, true};
+    transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
+  }
+  committing_ = true;
+  const Millis sent = commit_started_ = clock_.Now();
+  bool done = false;
+  while (Leads(term) && !done) {
+    auto version = co_await platform_.Commit(transaction, kCommitTimeout);
+    if (!Leads(term)) break;
+    if (version) {
+      beat_version_ = *version;
+      done = true;
+      break;
+    }
+    if (version.error().failure != CallFailure::kConflict) {
+      LogLine(LogLevel::kWarning, "commit_failed")
+          .With("beat", beat)
+          .With("rows", batch.rows.size())
+          .With("error", version.error().what);
+      if (release) break;
+      co_await kernel::Sleep(kRetryPause);
+      continue;
+    }
+    // Either an earlier send of this transaction was done, or the lease is
+    // another's.
+    const LeaseView view = ReadLease(version.error().rows);
+    if (view.beat == beat && view.lease_version == fence_) {
+      beat_version_ = view.beat_version;
+      done = true;
+      break;
+    }
+    LogLine(LogLevel::kWarning, "commit_refused")
+        .With("beat", beat)
+        .With("found", view.beat)
+        .With("lease_version", view.lease_version)
+        .With("fence", fence_);
+    StepDown("lease lost");
+  }
+  committing_ = false;
+  if (!done) {
+    stored_signal_.Notify();
+    co_return false;
+  }
+  renewed_ = std::max(renewed_, sent);
+  metrics_.Observe("hemlockward_commit_ms", "",
+                   static_cast<double>((clock_.Now() - sent).count));
+  scheduler_.OnCommitted(batch);
+  stored_signal_.Notify();
+  if (!batch.shown.empty() || !batch.workers.empty()) Kick();
+  for (const auto& [id, number] : batch.ends) {
+    const auto it = hold_signals_.find(id);
+    if (it != hold_signals_.end()) it->second->Notify();
+  }
+  co_return true;
+}
+
+void NodeProcess::StepDown(std::string_view reason) {
+  if (!leads_) return;
+  leads_ = loaded_ = false;
+  LogLine(LogLevel::kWarning, "stepped_down")
+      .With("term", term_)
+      .With("reason", reason)
+      .With("renewed_ms_ago", (clock_.Now() - renewed_).count);
+  scheduler_.BeginTerm(term_, {0});
+  lease_ = {};
+  beat_watch_.OnUnreadable();
+  held_.clear();
+  commit_signal_.Notify();
+  stored_signal_.Notify();
+  plan_signal_.Notify();
+  for (auto& [id, signal] : hold_signals_) signal->Notify();
+}
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/lease.cc
@@ -0,0 +1,75 @@
+#include "node/lease.h"
+
+#include <boost/json.hpp>
+
+namespace hemlockward::node {
+
+namespace json = boost::json;
+
+// Incarnations are random 64-bit numbers, which JSON readers may round.
+std::string EncodeLease(const LeaseRow& row) {
+  return json::serialize(
+      json::object{{"holder", row.holder},
+                   {"address", row.address},
+                   {"incarnation", std::to_string(row.incarnation)},
+                   {"term", row.term},
+                   {"released", row.released}});
+}
+
+std::optional<LeaseRow> DecodeLease(std::string_view text) {
+  boost::system::error_code ec;
+  const json::value value = json::parse(text, ec);
+  if (ec || !value.is_object()) return std::nullopt;
+  const json::object& object = value.get_object();
+  const json::value* holder = object.if_contains("holder");
+  const json::value* address = object.if_contains("address");
+  const json::value* incarnation = object.if_contains("incarnation");
+  const json::value* term = object.if_contains("term");
+  const json::value* released = object.if_contains("released");
+  if (!holder || !holder->is_string() || !address || !address->is_string() ||
+      !incarnation || !incarnation->is_string() || !term ||
+      !term->is_number() || !released || !released->is_bool()) {
+    return std::nullopt;
+  }
+  LeaseRow row;
+  row.holder = std::string_view(holder->get_string());
+  row.address = std::string_view(address->get_string());
+  row.incarnation =
+      std::strtoull(incarnation->get_string().c_str(), nullptr, 10);
+  row.term = term->to_number<std::uint64_t>();
+  row.released = released->get_bool();
+  return row;
+}
+
+std::string EncodeBeat(std::uint64_t term, std::uint64_t number) {
+  return std::to_string(term) + "." + std::to_string(number);
+}
+
+LeaseView ReadLease(std::span<const platform::StoreRow> rows) {
+  LeaseView view;
+  for (const platform::StoreRow& it : rows) {
+    if (it.table != kLeaseTable) continue;
+    if (it.key == kLeaseKey) {
+      view.lease_version = it.version;
+      view.lease = DecodeLease(it.value);
+    }
+    if (it.key == kBeatKey) {
+      view.beat_version = it.version;
+      view.beat = it.value;
+    }
+  }
+  return view;
+}
+
+void BeatWatch::OnRead(const LeaseView& view, Millis now) {
+  if (view.beat_version != version_) {
+    version_ = view.beat_version;
+    first_seen_ = now;
+    since_ = now;
+  } else if (!since_ || now - last_read_ > kReadingGap) {
+    since_ = now;
+  }
+  last_read_ = now;
+}
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/lease.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "base/clock.h"
+#include "platform/codec.h"
+
+/// Who leads. Two rows of the store in the same part as all others: `lease`
+/// changes hands only, so its version is the fencing token and a condition of
+/// every commit; `beat` changes with every commit, so that a commit whose
+/// answer was lost can't take effect once another one has.
+namespace hemlockward::node {
+
+using base::Millis;
+
+inline constexpr const char* kPart = "main";
+inline constexpr const char* kLeaseTable = "lead";
+inline constexpr const char* kLeaseKey = "lease";
+inline constexpr const char* kBeatKey = "beat";
+
+/// A leader gives orders for so long after its last renewal was sent. Longer
+/// than most outages of the store; short enough to bound what an unreachable
+/// worker may still be running after a takeover.
+inline constexpr Millis kOrderLimit{4000};
+inline constexpr Millis kRenewInterval{700};
+/// A renewal this late, while the store can be read, is taken as silence.
+/// Above the renewal interval and one slow answer; below `kOrderLimit`, which
+/// workers' fences make safe.
+inline constexpr Millis kSilence{2000};
+/// Readings further apart than this don't show that the beat stood still.
+inline constexpr Millis kReadingGap{900};
+
+struct LeaseRow {
+  std::string holder;
+  std::string address;  ///< For peers' calls.
+  std::uint64_t incarnation = 0;
+  std::uint64_t term = 0;
+  bool released = false;
+};
+
+std::string EncodeLease(const LeaseRow& row);
+std::optional<LeaseRow> DecodeLease(std::string_view text);
+std::string EncodeBeat(std::uint64_t term, std::uint64_t number);
+
+/// The two rows as last read; versions are 0 while a row doesn't exist.
+struct LeaseView {
+  std::uint64_t lease_version = 0;
+  std::uint64_t beat_version = 0;
+  std::string beat;
+  std::optional<LeaseRow> lease;
+};
+
+LeaseView ReadLease(std::span<const platform::StoreRow> rows);
+
+/// Watches the beat and says when its holder is silent.
+class BeatWatch {
+ public:
+  /// The rows were read at `now`.
+  void OnRead(const LeaseView& view, Millis now);
+  /// A reading failed: the time before it proves nothing.
+  void OnUnreadable() { since_ = std::nullopt; }
+  [[nodiscard]] bool IsSilent(Millis now) const {
+    return since_ && now - *since_ >= kSilence;
+  }
+  /// The holder's last renewal was sent before this.
+  [[nodiscard]] Millis renewed_before() const { return first_seen_; }
+
+ private:
+  std::uint64_t version_ = 0;
+  Millis first_seen_{0};
+  Millis last_read_{0};
+  std::optional<Millis> since_;
+};
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/process.cc
@@ -0,0 +1,271 @@
+#include "node/process.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/log.h"
+#include "peer/gen/peer_types.h"
+
+namespace hemlockward::node {
+
+using base::LogLevel;
+using base::LogLine;
+using kernel::HttpRequest;
+using kernel::HttpResponse;
+
+namespace {
+
+constexpr const char* kOperatorTable = "op";
+constexpr std::string_view kConfigKey = "config";
+constexpr std::string_view kWavePrefix = "wave/";
+/// One read of the store; it answers in 4 ms, slowed sixtyfold in 240 ms.
+constexpr Millis kReadTimeout{1500};
+constexpr Millis kFeedWait = base::Seconds(10);
+constexpr Millis kRetryPause{200};
+/// How long clients wait at most when they don't say.
+constexpr Millis kDefaultDeadline = base::Seconds(3);
+constexpr std::int64_t kMostBody = 512 * 1024;
+/// New connections may still come until two readiness probes, one a second,
+/// have failed.
+constexpr Millis kDrain{2500};
+constexpr Millis kStopMargin{700};
+
+kernel::HttpLimits FrontLimits() {
+  kernel::HttpLimits limits;
+  limits.max_body_bytes = kMostBody;
+  return limits;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(kernel::WorkerPool& pool, NodeSettings settings)
+    : pool_(pool),
+      settings_(std::move(settings)),
+      random_(base::SystemSeed()),
+      incarnation_(random_() | 1U),
+      http_(pool),
+      platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
+      peers_(pool),
+      commit_signal_(pool.context()),
+      stored_signal_(pool.context()),
+      scheduler_({settings_.worker_lease}),
+      fleet_({settings_.move_s, settings_.upkeep_s,
+              settings_.machine_orders_per_s}),
+      plan_signal_(pool.context()) {
+  readiness_ = std::make_unique<kernel::HttpServer>(
+      pool_, settings_.readiness, kernel::HttpLimits{},
+      [this](HttpRequest request) {
+        return ServeReadiness(std::move(request));
+      });
+  peer_server_ = std::make_unique<peer::PeerServer>(
+      pool_, settings_.peer, [this](peer::gen::Message message) {
+        return ServePeer(std::move(message));
+      });
+  front_ = std::make_unique<kernel::HttpServer>(
+      pool_, settings_.front, FrontLimits(), [this](HttpRequest request) {
+        return ServeClient(std::move(request));
+      });
+  LogLine(LogLevel::kInfo, "start")
+      .With("node", settings_.name)
+      .With("incarnation", incarnation_)
+      .With("front", settings_.front)
+      .With("store", settings_.store);
+  pool_.Spawn("operator", FollowOperator());
+  pool_.Spawn("lease", WatchLease());
+}
+
+NodeProcess::~NodeProcess() = default;
+
+Awaitable<HttpResponse> NodeProcess::ServeReadiness(HttpRequest request) {
+  if (request.Path() == "/metrics") {
+    HttpResponse response;
+    response.body = metrics_.ToPrometheus();
+    response.With("Content-Type", "text/plain; version=0.0.4");
+    co_return response;
+  }
+  const bool ready = config_.version > 0 && !stopping_;
+  co_return kernel::JsonResponse(ready ? 200 : 503,
+                                 ready ? R"({"ready":true})"
+                                       : R"({"ready":false})");
+}
+
+Awaitable<HttpResponse> NodeProcess::ServeClient(HttpRequest request) {
+  const Millis begin = clock_.Now();
+  Call call;
+  call.method = std::move(request.method);
+  call.host = WithoutPort(request.Header("Host"));
+  call.path = request.Path();
+  call.deadline = begin + kDefaultDeadline;
+  const std::string_view wait = request.Header("Hemlockward-Deadline-Ms");
+  std::int64_t ms = 0;
+  const auto [end, ec] =
+      std::from_chars(wait.data(), wait.data() + wait.size(), ms);
+  if (ec == std::errc() && ms > 0) call.deadline = begin + Millis{ms};
+  call.body = std::move(request.body);
+  const std::string method = call.method;
+  Reply reply = co_await Route(std::move(call));
+  metrics_.Count("hemlockward_requests_total",
+                 "method=\"" + method + "\",status=\"" +
+                     std::to_string(reply.status) + "\"");
+  metrics_.Observe("hemlockward_request_ms", "method=\"" + method + "\"",
+                   static_cast<double>((clock_.Now() - begin).count));
+  HttpResponse response =
+      kernel::JsonResponse(reply.status, std::move(reply.body));
+  if (reply.retry_after_s > 0) {
+    response.With("Retry-After", std::to_string(reply.retry_after_s));
+  }
+  co_return response;
+}
+
+Awaitable<peer::gen::Message> NodeProcess::ServePeer(
+    peer::gen::Message message) {
+  peer::gen::Message answer;
+  if (message.__isset.leader_check) {
+    peer::gen::LeaderCheck check;
+    check.__set_incarnation(static_cast<std::int64_t>(incarnation_));
+    check.__set_leads(leads_);
+    check.__set_term(static_cast<std::int64_t>(term_));
+    check.__set_renewal_age_ms((clock_.Now() - renewed_).count);
+    check.__set_config_version(static_cast<std::int64_t>(config_.version));
+    answer.__set_leader_check(check);
+    co_return answer;
+  }
+  if (!message.__isset.job_call) {
+    co_return peer::ErrorMessage("unknown message");
+  }
+  peer::gen::JobReply out;
+  if (!leads_) {
+    out.__set_status(0);
+  } else {
+    Call call;
+    call.method = std::move(message.job_call.method);
+    call.host = std::move(message.job_call.host);
+    call.path = std::move(message.job_call.path);
+    call.body = std::move(message.job_call.body);
+    call.deadline = clock_.Now() + Millis{message.job_call.remaining_ms};
+    const Reply reply = co_await Handle(std::move(call));
+    out.__set_status(reply.status);
+    out.__set_body(reply.body);
+    out.__set_retry_after_s(reply.retry_after_s);
+  }
+  answer.__set_job_reply(out);
+  co_return answer;
+}
+
+// Reads all the operator's rows. Returns false when the store didn't answer.
+Awaitable<bool> NodeProcess::ReadOperator() {
+  std::string from;
+  while (true) {
+    auto page =
+        co_await platform_.Read(kOperatorTable, "", from, kReadTimeout);
+    if (!page) co_return false;
+    for (const platform::StoreRow& it : page->rows) ApplyOperatorRow(it);
+    operator_version_ = std::max(operator_version_, page->version);
+    if (!page->more || page->rows.empty()) co_return true;
+    from = page->rows.back().key + '\0';
+  }
+}
+
+void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row) {
+  const std::string_view key = row.key;
+  if (key == kConfigKey) {
+    auto config = platform::DecodeConfiguration(row.value);
+    if (!config) {
+      LogLine(LogLevel::kError, "configuration_unreadable")
+          .With("row_version", row.version)
+          .With("error", config.error().what);
+      return;
+    }
+    // A page read anew may be older than what is in force.
+    if (config->version <= config_.version) return;
+    LogLine(LogLevel::kInfo, "configuration")
+        .With("version", config->version)
+        .With("before", config_.version)
+        .With("queues", config->queues.size());
+    config_ = *std::move(config);
+    scheduler_.SetConfiguration(config_);
+    Kick();
+    return;
+  }
+  if (!key.starts_with(kWavePrefix) || row.removed) return;
+  auto wave = platform::DecodeWave(row.value);
+  if (!wave) {
+    LogLine(LogLevel::kError, "wave_unreadable")
+        .With("key", key)
+        .With("error", wave.error().what);
+    return;
+  }
+  if (!waves_.contains(wave->number)) {
+    LogLine(LogLevel::kInfo, "wave_ordered")
+        .With("wave", wave->number)
+        .With("machines", wave->machines.size())
+        .With("cap", wave->cap)
+        .With("duration_ms", wave->duration.count);
+  }
+  waves_[wave->number] = *std::move(wave);
+}
+
+Awaitable<void> NodeProcess::FollowOperator() {
+  bool read = false;
+  while (true) {
+    if (!read) {
+      read = co_await ReadOperator();
+      if (!read) co_await kernel::Sleep(kRetryPause);
+      continue;
+    }
+    auto page = co_await platform_.Changes(kOperatorTable, operator_version_,
+                                           kFeedWait);
+    if (!page) {
+      const bool lost =
+          page.error().failure == platform::CallFailure::kHistoryLost;
+      LogLine(LogLevel::kWarning, "operator_feed_lost")
+          .With("after", operator_version_)
+          .With("error", page.error().what);
+      read = false;
+      if (!lost) co_await kernel::Sleep(kRetryPause);
+      continue;
+    }
+    for (const platform::StoreRow& it : page->rows) ApplyOperatorRow(it);
+    operator_version_ = std::max(operator_version_, page->version);
+  }
+}
+
+void NodeProcess::BeginStop() {
+  if (stopping_) return;
+  stopping_ = true;
+  LogLine(LogLevel::kInfo, "stop")
+      .With("node", settings_.name)
+      .With("leads", leads_)
+      .With("requests", front_->requests_in_progress());
+  front_->AnnounceStop();
+  pool_.Spawn("stop", Stop());
+}
+
+Awaitable<void> NodeProcess::Stop() {
+  const Millis begin = clock_.Now();
+  const Millis limit = begin + settings_.grace - kStopMargin;
+  if (leads_) {
+    while (committing_ && clock_.Now() < limit) {
+      co_await stored_signal_.Wait(kRetryPause);
+    }
+    if (leads_) co_await CommitOnce(term_, true);
+    StepDown("stopped");
+  }
+  while (clock_.Now() < limit) {
+    const bool drained = clock_.Now() - begin >= kDrain;
+    if (drained && front_->requests_in_progress() == 0) break;
+    co_await kernel::Sleep({50});
+  }
+  front_->CloseIdle();
+  co_await kernel::Sleep({100});
+  LogLine(LogLevel::kInfo, "stopped")
+      .With("node", settings_.name)
+      .With("after_ms", (clock_.Now() - begin).count);
+  pool_.Stop();
+}
+
+}  // namespace hemlockward::node
--- /dev/null
+++ b/src/node/process.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "jobs/fleet.h"
+#include "jobs/scheduler.h"
+#include "kernel/http.h"
+#include "kernel/signal.h"
+#include "kernel/worker_pool.h"
+#include "node/lease.h"
+#include "node/settings.h"
+#include "peer/transport.h"
+#include "platform/client.h"
+
+/// One process on each machine that takes clients' requests. All nodes answer
+/// them; one leads and decides, the others pass requests on to it.
+namespace hemlockward::node {
+
+using base::Millis;
+template <class T>
+using Awaitable = boost::asio::awaitable<T>;
+
+/// A client's call on jobs, wherever it arrived.
+struct Call {
+  std::string method;
+  std::string host;
+  std::string path;
+  std::string body;
+  Millis deadline{0};  ///< Local time at which the client stops waiting.
+};
+
+struct Reply {
+  int status = 503;  ///< 0: not answered, as this node doesn't lead.
+  std::string body;
+  std::int64_t retry_after_s = 0;
+};
+
+class NodeProcess {
+ public:
+  /// Starts at once; runs on one thread. Throws when an address is in use.
+  NodeProcess(kernel::WorkerPool& pool, NodeSettings settings);
+  ~NodeProcess();
+  /// Hands the lease over, answers what is in progress, then stops the pool.
+  void BeginStop();
+
+ private:
+  // Any node (process.cc).
+  Awaitable<void> FollowOperator();
+  Awaitable<bool> ReadOperator();
+  void ApplyOperatorRow(const platform::StoreRow& row);
+  Awaitable<void> Stop();
+  Awaitable<kernel::HttpResponse> ServeReadiness(kernel::HttpRequest request);
+  Awaitable<kernel::HttpResponse> ServeClient(kernel::HttpRequest request);
+  Awaitable<peer::gen::Message> ServePeer(peer::gen::Message message);
+
+  // Calls on jobs (calls.cc).
+  Awaitable<Reply> Route(Call call);
+  Awaitable<Reply> Handle(Call call);
+  Awaitable<Reply> Submit(const jobs::Queue& queue, std::string id, Call call);
+  Awaitable<Reply> Cancel(std::string id, Call call);
+  Reply State(std::string_view id);
+  Awaitable<Reply> Forward(const Call& call, bool* may_have_run);
+
+  // Leadership (leadership.cc).
+  Awaitable<void> WatchLease();
+  Awaitable<void> WatchOnce();
+  Awaitable<bool> HolderAnswers();
+  Awaitable<void> TakeLease(const LeaseView& view, Millis renewed_before);
+  Awaitable<bool> Load(std::uint64_t term);
+  Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
+  Awaitable<void> CommitLoop(std::uint64_t term);
+  Awaitable<bool> CommitOnce(std::uint64_t term, bool release);
+  void StepDown(std::string_view reason);
+  [[nodiscard]] bool Leads(std::uint64_t term) const {
+    return leads_ && term_ == term;
+  }
+  /// Whether orders may be given now.
+  [[nodiscard]] bool MayOrder() const {
+    return leads_ && loaded_ && clock_.Now() - renewed_ < kOrderLimit;
+  }
+
+  // Leader's work (leader.cc).
+  Awaitable<void> FollowWorkers(std::uint64_t term);
+  Awaitable<bool> ReadWorkers(std::uint64_t term);
+  void ApplyWorkerRow(const platform::StoreRow& row);
+  void WatchWorkers(std::uint64_t term);
+  Awaitable<void> HoldLoop(std::uint64_t term, std::string id);
+  Awaitable<void> HoldOnce(std::uint64_t term, std::string id);
+  Awaitable<void> PlanLoop(std::uint64_t term);
+  void Execute(std::uint64_t term, jobs::Orders orders);
+  Awaitable<void> ExecuteStart(std::uint64_t term, jobs::StartOrder order);
+  Awaitable<void> ExecuteStop(std::uint64_t term, jobs::StopOrder order);
+  Awaitable<void> ExecutePace(std::uint64_t term, jobs::PaceOrder order);
+  Awaitable<void> ExecuteAdvice(std::uint64_t term, std::string step,
+                                std::vector<std::string> workers);
+  Awaitable<void> FleetLoop(std::uint64_t term);
+  Awaitable<void> ExecuteMachine(std::uint64_t term, jobs::MachineOrder order);
+  Awaitable<void> WriteWaveStates(std::uint64_t term);
+  void Kick() { plan_signal_.Notify(), plan_due_ = true; }
+
+  kernel::WorkerPool& pool_;
+  NodeSettings settings_;
+  base::SystemClock clock_;
+  base::Random random_;
+  std::uint64_t incarnation_;
+  base::Metrics metrics_;
+  kernel::HttpClient http_;
+  platform::PlatformClient platform_;
+  peer::PeerClient peers_;
+
+  // What the operator wrote.
+  jobs::Configuration config_;
+  std::map<int, jobs::WaveOrder> waves_;
+  std::uint64_t operator_version_ = 0;
+
+  // Leadership.
+  LeaseView lease_;
+  BeatWatch beat_watch_;
+  Millis holder_answered_{-1'000'000};
+  bool holder_gone_ = false;  ///< Evidence that the holder leads no more.
+  bool leads_ = false;
+  bool loaded_ = false;
+  bool stopping_ = false;
+  bool committing_ = false;
+  std::uint64_t term_ = 0;
+  std::uint64_t fence_ = 0;
+  std::uint64_t beat_version_ = 0;
+  std::uint64_t beat_number_ = 0;
+  Millis renewed_{0};  ///< When the newest successful renewal was sent.
+  Millis took_over_{0};
+  Millis commit_started_{0};
+  kernel::Signal commit_signal_;  ///< There is something to commit.
+  kernel::Signal stored_signal_;  ///< Something was committed, or lost.
+
+  // Leader's work.
+  jobs::Scheduler scheduler_;
+  jobs::Fleet fleet_;
+  std::uint64_t workers_version_ = 0;
+  std::set<std::string> held_;
+  std::map<std::string, std::unique_ptr<kernel::Signal>> hold_signals_;
+  kernel::Signal plan_signal_;
+  bool plan_due_ = false;
+  bool machine_busy_ = false;
+  std::map<int, bool> wave_states_;  ///< As written; true: completed.
+
+  std::unique_ptr<kernel::HttpServer> front_;
+  std::unique_ptr<kernel::HttpServer> readiness_;
+  std::unique_ptr<peer::PeerServer> peer_server_;
+};
+
+}  // namespace hemlockward::node
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2074,6 +2074,522 @@
 }
 
 
+JobCall::~JobCall() noexcept {
+}
+
+
+void JobCall::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void JobCall::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void JobCall::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void JobCall::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void JobCall::__set_remaining_ms(const int64_t val) {
+  this->remaining_ms = val;
+}
+
+void JobCall::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobCall");
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->remaining_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobCall &a, JobCall &b) {
+  using ::std::swap;
+  swap(a.method, b.method);
+  swap(a.host, b.host);
+  swap(a.path, b.path);
+  swap(a.body, b.body);
+  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.config_version, b.config_version);
+  swap(a.__isset, b.__isset);
+}
+
+JobCall::JobCall(const JobCall& other90) {
+  method = other90.method;
+  host = other90.host;
+  path = other90.path;
+  body = other90.body;
+  remaining_ms = other90.remaining_ms;
+  config_version = other90.config_version;
+  __isset = other90.__isset;
+}
+JobCall& JobCall::operator=(const JobCall& other91) {
+  method = other91.method;
+  host = other91.host;
+  path = other91.path;
+  body = other91.body;
+  remaining_ms = other91.remaining_ms;
+  config_version = other91.config_version;
+  __isset = other91.__isset;
+  return *this;
+}
+void JobCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobCall(";
+  out << "method=" << to_string(method);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ")";
+}
+
+
+JobReply::~JobReply() noexcept {
+}
+
+
+void JobReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void JobReply::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void JobReply::__set_retry_after_s(const int64_t val) {
+  this->retry_after_s = val;
+}
+
+void JobReply::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_s);
+          this->__isset.retry_after_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobReply");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_s", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retry_after_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobReply &a, JobReply &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.body, b.body);
+  swap(a.retry_after_s, b.retry_after_s);
+  swap(a.config_version, b.config_version);
+  swap(a.__isset, b.__isset);
+}
+
+JobReply::JobReply(const JobReply& other92) {
+  status = other92.status;
+  body = other92.body;
+  retry_after_s = other92.retry_after_s;
+  config_version = other92.config_version;
+  __isset = other92.__isset;
+}
+JobReply& JobReply::operator=(const JobReply& other93) {
+  status = other93.status;
+  body = other93.body;
+  retry_after_s = other93.retry_after_s;
+  config_version = other93.config_version;
+  __isset = other93.__isset;
+  return *this;
+}
+void JobReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobReply(";
+  out << "status=" << to_string(status);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "retry_after_s=" << to_string(retry_after_s);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ")";
+}
+
+
+LeaderCheck::~LeaderCheck() noexcept {
+}
+
+
+void LeaderCheck::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LeaderCheck::__set_leads(const bool val) {
+  this->leads = val;
+}
+
+void LeaderCheck::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LeaderCheck::__set_renewal_age_ms(const int64_t val) {
+  this->renewal_age_ms = val;
+}
+
+void LeaderCheck::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeaderCheck::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->renewal_age_ms);
+          this->__isset.renewal_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeaderCheck::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeaderCheck");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->leads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("renewal_age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->renewal_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeaderCheck &a, LeaderCheck &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.leads, b.leads);
+  swap(a.term, b.term);
+  swap(a.renewal_age_ms, b.renewal_age_ms);
+  swap(a.config_version, b.config_version);
+  swap(a.__isset, b.__isset);
+}
+
+LeaderCheck::LeaderCheck(const LeaderCheck& other94) noexcept {
+  incarnation = other94.incarnation;
+  leads = other94.leads;
+  term = other94.term;
+  renewal_age_ms = other94.renewal_age_ms;
+  config_version = other94.config_version;
+  __isset = other94.__isset;
+}
+LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other95) noexcept {
+  incarnation = other95.incarnation;
+  leads = other95.leads;
+  term = other95.term;
+  renewal_age_ms = other95.renewal_age_ms;
+  config_version = other95.config_version;
+  __isset = other95.__isset;
+  return *this;
+}
+void LeaderCheck::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeaderCheck(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "leads=" << to_string(leads);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "renewal_age_ms=" << to_string(renewal_age_ms);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -2127,6 +2643,21 @@
   this->error = val;
 __isset.error = true;
 }
+
+void Message::__set_job_call(const JobCall& val) {
+  this->job_call = val;
+__isset.job_call = true;
+}
+
+void Message::__set_job_reply(const JobReply& val) {
+  this->job_reply = val;
+__isset.job_reply = true;
+}
+
+void Message::__set_leader_check(const LeaderCheck& val) {
+  this->leader_check = val;
+__isset.leader_check = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -2235,6 +2766,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->job_call.read(iprot);
+          this->__isset.job_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->job_reply.read(iprot);
+          this->__isset.job_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leader_check.read(iprot);
+          this->__isset.leader_check = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2302,6 +2857,21 @@
     xfer += this->error.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.job_call) {
+    xfer += oprot->writeFieldBegin("job_call", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->job_call.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.job_reply) {
+    xfer += oprot->writeFieldBegin("job_reply", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->job_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leader_check) {
+    xfer += oprot->writeFieldBegin("leader_check", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->leader_check.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2319,34 +2889,43 @@
   swap(a.slot_request, b.slot_request);
   swap(a.slot_reply, b.slot_reply);
   swap(a.error, b.error);
+  swap(a.job_call, b.job_call);
+  swap(a.job_reply, b.job_reply);
+  swap(a.leader_check, b.leader_check);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other90) {
-  heartbeat = other90.heartbeat;
-  heartbeat_reply = other90.heartbeat_reply;
-  delta_request = other90.delta_request;
-  delta_reply = other90.delta_reply;
-  forward_request = other90.forward_request;
-  forward_reply = other90.forward_reply;
-  outcome_request = other90.outcome_request;
-  slot_request = other90.slot_request;
-  slot_reply = other90.slot_reply;
-  error = other90.error;
-  __isset = other90.__isset;
-}
-Message& Message::operator=(const Message& other91) {
-  heartbeat = other91.heartbeat;
-  heartbeat_reply = other91.heartbeat_reply;
-  delta_request = other91.delta_request;
-  delta_reply = other91.delta_reply;
-  forward_request = other91.forward_request;
-  forward_reply = other91.forward_reply;
-  outcome_request = other91.outcome_request;
-  slot_request = other91.slot_request;
-  slot_reply = other91.slot_reply;
-  error = other91.error;
-  __isset = other91.__isset;
+Message::Message(const Message& other96) {
+  heartbeat = other96.heartbeat;
+  heartbeat_reply = other96.heartbeat_reply;
+  delta_request = other96.delta_request;
+  delta_reply = other96.delta_reply;
+  forward_request = other96.forward_request;
+  forward_reply = other96.forward_reply;
+  outcome_request = other96.outcome_request;
+  slot_request = other96.slot_request;
+  slot_reply = other96.slot_reply;
+  error = other96.error;
+  job_call = other96.job_call;
+  job_reply = other96.job_reply;
+  leader_check = other96.leader_check;
+  __isset = other96.__isset;
+}
+Message& Message::operator=(const Message& other97) {
+  heartbeat = other97.heartbeat;
+  heartbeat_reply = other97.heartbeat_reply;
+  delta_request = other97.delta_request;
+  delta_reply = other97.delta_reply;
+  forward_request = other97.forward_request;
+  forward_reply = other97.forward_reply;
+  outcome_request = other97.outcome_request;
+  slot_request = other97.slot_request;
+  slot_reply = other97.slot_reply;
+  error = other97.error;
+  job_call = other97.job_call;
+  job_reply = other97.job_reply;
+  leader_check = other97.leader_check;
+  __isset = other97.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -2362,6 +2941,9 @@
   out << ", " << "slot_request="; (__isset.slot_request ? (out << to_string(slot_request)) : (out << "<null>"));
   out << ", " << "slot_reply="; (__isset.slot_reply ? (out << to_string(slot_reply)) : (out << "<null>"));
   out << ", " << "error="; (__isset.error ? (out << to_string(error)) : (out << "<null>"));
+  out << ", " << "job_call="; (__isset.job_call ? (out << to_string(job_call)) : (out << "<null>"));
+  out << ", " << "job_reply="; (__isset.job_reply ? (out << to_string(job_reply)) : (out << "<null>"));
+  out << ", " << "leader_check="; (__isset.leader_check ? (out << to_string(leader_check)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -41,6 +41,12 @@
 
 class Error;
 
+class JobCall;
+
+class JobReply;
+
+class LeaderCheck;
+
 class Message;
 
 typedef struct _Heartbeat__isset {
@@ -785,8 +791,221 @@
 
 std::ostream& operator<<(std::ostream& out, const Error& obj);
 
+typedef struct _JobCall__isset {
+  _JobCall__isset() : method(false), host(false), path(false), body(false), remaining_ms(false), config_version(false) {}
+  bool method :1;
+  bool host :1;
+  bool path :1;
+  bool body :1;
+  bool remaining_ms :1;
+  bool config_version :1;
+} _JobCall__isset;
+
+class JobCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobCall(const JobCall&);
+  JobCall& operator=(const JobCall&);
+  JobCall() noexcept
+          : method(),
+            host(),
+            path(),
+            body(),
+            remaining_ms(0),
+            config_version(0) {
+  }
+
+  virtual ~JobCall() noexcept;
+  std::string method;
+  std::string host;
+  std::string path;
+  std::string body;
+  int64_t remaining_ms;
+  int64_t config_version;
+
+  _JobCall__isset __isset;
+
+  void __set_method(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  void __set_remaining_ms(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  bool operator == (const JobCall & rhs) const
+  {
+    if (!(method == rhs.method))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(remaining_ms == rhs.remaining_ms))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    return true;
+  }
+  bool operator != (const JobCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobCall &a, JobCall &b);
+
+std::ostream& operator<<(std::ostream& out, const JobCall& obj);
+
+typedef struct _JobReply__isset {
+  _JobReply__isset() : status(false), body(false), retry_after_s(false), config_version(false) {}
+  bool status :1;
+  bool body :1;
+  bool retry_after_s :1;
+  bool config_version :1;
+} _JobReply__isset;
+
+class JobReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobReply(const JobReply&);
+  JobReply& operator=(const JobReply&);
+  JobReply() noexcept
+           : status(0),
+             body(),
+             retry_after_s(0),
+             config_version(0) {
+  }
+
+  virtual ~JobReply() noexcept;
+  int32_t status;
+  std::string body;
+  int64_t retry_after_s;
+  int64_t config_version;
+
+  _JobReply__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  void __set_retry_after_s(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  bool operator == (const JobReply & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(retry_after_s == rhs.retry_after_s))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    return true;
+  }
+  bool operator != (const JobReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobReply &a, JobReply &b);
+
+std::ostream& operator<<(std::ostream& out, const JobReply& obj);
+
+typedef struct _LeaderCheck__isset {
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false) {}
+  bool incarnation :1;
+  bool leads :1;
+  bool term :1;
+  bool renewal_age_ms :1;
+  bool config_version :1;
+} _LeaderCheck__isset;
+
+class LeaderCheck : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeaderCheck(const LeaderCheck&) noexcept;
+  LeaderCheck& operator=(const LeaderCheck&) noexcept;
+  LeaderCheck() noexcept
+              : incarnation(0),
+                leads(0),
+                term(0),
+                renewal_age_ms(0),
+                config_version(0) {
+  }
+
+  virtual ~LeaderCheck() noexcept;
+  int64_t incarnation;
+  bool leads;
+  int64_t term;
+  int64_t renewal_age_ms;
+  int64_t config_version;
+
+  _LeaderCheck__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_leads(const bool val);
+
+  void __set_term(const int64_t val);
+
+  void __set_renewal_age_ms(const int64_t val);
+
+  void __set_config_version(const int64_t val);
+
+  bool operator == (const LeaderCheck & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(leads == rhs.leads))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(renewal_age_ms == rhs.renewal_age_ms))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    return true;
+  }
+  bool operator != (const LeaderCheck &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeaderCheck & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeaderCheck &a, LeaderCheck &b);
+
+std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : heartbeat(false), heartbeat_reply(false), delta_request(false), delta_reply(false), forward_request(false), forward_reply(false), outcome_request(false), slot_request(false), slot_reply(false), error(false) {}
+  _Message__isset() : heartbeat(false), heartbeat_reply(false), delta_request(false), delta_reply(false), forward_request(false), forward_reply(false), outcome_request(false), slot_request(false), slot_reply(false), error(false), job_call(false), job_reply(false), leader_check(false) {}
   bool heartbeat :1;
   bool heartbeat_reply :1;
   bool delta_request :1;
@@ -797,6 +1016,9 @@
   bool slot_request :1;
   bool slot_reply :1;
   bool error :1;
+  bool job_call :1;
+  bool job_reply :1;
+  bool leader_check :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -818,6 +1040,9 @@
   SlotRequest slot_request;
   SlotReply slot_reply;
   Error error;
+  JobCall job_call;
+  JobReply job_reply;
+  LeaderCheck leader_check;
 
   _Message__isset __isset;
 
@@ -841,6 +1066,12 @@
 
   void __set_error(const Error& val);
 
+  void __set_job_call(const JobCall& val);
+
+  void __set_job_reply(const JobReply& val);
+
+  void __set_leader_check(const LeaderCheck& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -883,6 +1114,18 @@
       return false;
     else if (__isset.error && !(error == rhs.error))
       return false;
+    if (__isset.job_call != rhs.__isset.job_call)
+      return false;
+    else if (__isset.job_call && !(job_call == rhs.job_call))
+      return false;
+    if (__isset.job_reply != rhs.__isset.job_reply)
+      return false;
+    else if (__isset.job_reply && !(job_reply == rhs.job_reply))
+      return false;
+    if (__isset.leader_check != rhs.__isset.leader_check)
+      return false;
+    else if (__isset.leader_check && !(leader_check == rhs.leader_check))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -96,6 +96,32 @@
   1: string reason,
 }
 
+// Passes a client's call on jobs to the node that leads.
+struct JobCall {
+  1: string method,
+  2: string host,
+  3: string path,
+  4: binary body,
+  5: i64 remaining_ms,
+  6: i64 config_version,        // newest configuration of the sender
+}
+
+struct JobReply {
+  1: i32 status,                // 0: the receiver doesn't lead and did nothing
+  2: binary body,
+  3: i64 retry_after_s,
+  4: i64 config_version,
+}
+
+// Asks a node whether it still leads; the reply goes back in the same form.
+struct LeaderCheck {
+  1: i64 incarnation,
+  2: bool leads,
+  3: i64 term,
+  4: i64 renewal_age_ms,        // since its newest lease renewal was sent
+  5: i64 config_version,
+}
+
 union Message {
   1: Heartbeat heartbeat,
   2: HeartbeatReply heartbeat_reply,
@@ -107,4 +133,7 @@
   8: SlotRequest slot_request,
   9: SlotReply slot_reply,
   10: Error error,
+  11: JobCall job_call,
+  12: JobReply job_reply,
+  13: LeaderCheck leader_check,
 }
