--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -78,15 +78,17 @@
   beat_watch_.OnRead(view, now);
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
-  if (free || holder_gone_ || beat_watch_.IsSilent(now)) {
+  const bool candidate = config_.version > 0 && !stopping_;
+  if (candidate && (free || holder_gone_ || beat_watch_.IsSilent(now))) {
     LogLine(LogLevel::kInfo, "lease_is_free")
         .With("released", free)
         .With("holder_gone", holder_gone_)
         .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
     co_await kernel::Sleep(
         {static_cast<std::int64_t>(random_() % kMostJitterMs)});
-    const Millis stopped = free && view.lease ? now : beat_watch_.renewed_before() + kOrderLimit;
-    if (config_.version > 0 && !stopping_) co_await TakeLease(view, stopped);
+    const Millis stopped =
+        free ? now : beat_watch_.renewed_before() + kOrderLimit;
+    co_await TakeLease(view, stopped);
     co_return;
   }
   co_await kernel::Sleep(kReadInterval);
