--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -211,7 +211,7 @@
       Worker* worker = scheduler.FindWorker(state->machine.worker);
       if (worker && !scheduler.IsIdle(*worker)) {
         worker->reserved = true;
-        scheduler.Evacuate(*worker, now);
+        scheduler.Evacuate(*worker);
         continue;
       }
       if (tokens_ < 1) break;
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -355,7 +355,7 @@
 
 void Scheduler::PlanStops(Orders& orders, Millis now) {
   for (auto& [id, worker] : workers_) {
-    if (!worker.stops_wanted) continue;
+    if (!worker.stops_wanted || worker.silent) continue;
     worker.stops_wanted = false;
     for (auto& [task, run] : worker.runs) {
       if (!run.stop_wanted || run.stop_in_flight) continue;
@@ -363,7 +363,7 @@
         worker.stops_wanted = true;
         continue;
       }
-      run.stop_in_flight = true;
+      run.stop_in_flight = run.stopping = true;
       orders.stops.push_back({id, task, run.number});
     }
   }
@@ -378,7 +378,7 @@
     for (const auto& [task, run] : worker.runs) {
       if (run.job == &job && task.occurrence == id.occurrence &&
           task.step == id.step && run.percent >= kFullPercent &&
-          !run.stop_wanted && !run.stop_in_flight && !worker.silent &&
+          !run.stop_wanted && !run.stopping && !worker.silent &&
           run.phase == RunPhase::kRunning) {
         ++at_work;
       }
@@ -388,11 +388,11 @@
 }
 }  // namespace
 
-void Scheduler::Evacuate(Worker& worker, Millis now) {
+void Scheduler::Evacuate(Worker& worker) {
   for (auto& [id, run] : worker.runs) {
     const StepSpec& step = run.job->spec.steps[id.step];
-    if (!step.lasting || run.stop_wanted || run.stop_in_flight) continue;
-    if (now < run.stop_retry_at || run.phase != RunPhase::kRunning) continue;
+    if (!step.lasting || run.stop_wanted || run.stopping) continue;
+    if (run.phase != RunPhase::kRunning) continue;
     if (!worker.entry.draining) {
       const int away = Away(workers_, *run.job, id);
       const int others = run.percent >= kFullPercent ? away : away - 1;
@@ -415,7 +415,7 @@
       ReleaseAll(worker, now);
       worker.silent = true;
     }
-    if (worker.entry.draining && worker.listed) Evacuate(worker, now);
+    if (worker.entry.draining && worker.listed) Evacuate(worker);
     if (!worker.runs.empty()) CheckTargets(worker, orders, now);
   }
   PlanStops(orders, now);
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -26,6 +26,7 @@
 constexpr int kFailuresToEject = 3;
 constexpr Millis kEjection{4000};
 constexpr Millis kStopRetry{200};
+constexpr int kFullPace = 100;
 // Slack for the time between stamping an order and its arrival.
 constexpr Millis kLeaseMargin{150};
 
@@ -347,7 +348,7 @@
 // Stops a run that stands still, so that its task runs elsewhere.
 void Scheduler::CheckProgress(Worker& worker, Run& run, Millis now) {
   const StepSpec& step = run.job->spec.steps[run.task.step];
-  if (run.stop_wanted || run.stop_in_flight || run.pace < 100) return;
+  if (run.stop_wanted || run.stopping || run.pace < kFullPace) return;
   if (step.lasting && run.percent >= 100) return;
   const Millis limit = step.lasting ? kStartupLimit : kStandstill;
   if (now - run.progress_at < limit) return;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -97,6 +97,7 @@
   int pace = 100;
   bool stop_wanted = false;
   bool stop_in_flight = false;
+  bool stopping = false;  ///< A stop was ordered: it is not at work for long.
   Millis stop_retry_at{0};
 };
 
@@ -259,7 +260,7 @@
   /// True when nothing runs on the worker, or ends there of itself soon.
   [[nodiscard]] bool IsIdle(const Worker& worker) const;
   /// Stops what may be stopped on workers that are being emptied.
-  void Evacuate(Worker& worker, Millis now);
+  void Evacuate(Worker& worker);
   [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
   [[nodiscard]] std::size_t run_count() const { return run_count_; }
 
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -24,6 +24,7 @@
 /// what is known of progress; well below the workers' lease.
 constexpr Millis kReportWait{900};
 constexpr Millis kReportSlack{800};
+constexpr Millis kSilentPause{300};
 /// Ends are acknowledged with the next report once they are committed.
 constexpr Millis kCommitWait{300};
 /// Answers that come together are planned for together.
@@ -154,9 +155,12 @@
                     !worker->runs.empty() &&
                     worker->reported == worker->committed;
   const std::int64_t acknowledged = worker->committed;
-  const std::int64_t deadline = scheduler_.LeaseEnd(*worker, sent);
+  // A worker that doesn't answer may still hear: it gets no longer lease, so
+  // that what it runs surely ends.
+  const std::int64_t deadline =
+      worker->silent ? 0 : scheduler_.LeaseEnd(*worker, sent);
   const Millis report_wait = wait ? kReportWait : Millis{0};
-  scheduler_.NoteLease(*worker, sent);
+  if (deadline > 0) scheduler_.NoteLease(*worker, sent);
   std::string body =
       platform::EncodeHold(fence_, acknowledged, deadline, report_wait);
   const jobs::WorkerEntry entry = worker->entry;
@@ -180,7 +184,7 @@
     if (report.error().failure == CallFailure::kConflict) {
       commit_signal_.Notify();
     }
-    co_await hold_signals_.at(id)->Wait(kRetryPause);
+    co_await hold_signals_.at(id)->Wait(kSilentPause);
     co_return;
   }
   const bool first = !worker->adopted;
