--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -64,8 +64,10 @@
       if (refused && may_have_run && call.method == "POST") reply.status = 504;
       co_return reply;
     }
+    may_have_run = may_have_run || reply.may_have_run;
     const Millis now = clock_.Now();
-    if (now >= limit || now - begin >= kLeaderWait) break;
+    const bool wait = call.method != "POST" || now - begin < kLeaderWait;
+    if (now >= limit || !wait) break;
     co_await kernel::Sleep(kRetryPause);
   }
   LogLine(LogLevel::kWarning, "request_without_leader")
@@ -112,6 +114,7 @@
   reply.status = answer->job_reply.status;
   reply.body = std::move(answer->job_reply.body);
   reply.retry_after_s = answer->job_reply.retry_after_s;
+  reply.may_have_run = answer->job_reply.may_have_run;
   co_return reply;
 }
 
@@ -175,9 +178,10 @@
     if (clock_.Now() >= limit) break;
     co_await stored_signal_.Wait(limit - clock_.Now());
   }
+  // The lease went to another node, which knows the job if it was stored.
+  if (!Leads(term)) co_return Reply{0, {}, 0, true};
   LogLine(LogLevel::kWarning, "job_not_stored")
       .With("job", id)
-      .With("leads", Leads(term))
       .With("waited_ms", (clock_.Now() - begin).count);
   co_return Refused(504, "not known whether the job was stored");
 }
@@ -220,6 +224,7 @@
     if (clock_.Now() >= limit) break;
     co_await stored_signal_.Wait(limit - clock_.Now());
   }
+  if (!Leads(term)) co_return Reply{0, {}, 0, true};
   co_return Refused(504, "not known whether the cancel was stored");
 }
 
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -23,6 +23,8 @@
 constexpr Millis kRetryPause{100};
 /// A holder whose newest renewal is older than this may be cut off.
 constexpr Millis kRenewalLate{1600};
+/// A peer that wasn't heard of for so long isn't passed on.
+constexpr Millis kPeerForgotten = base::Seconds(30);
 /// Spreads the candidates, so that one transaction usually decides.
 constexpr std::int64_t kMostJitterMs = 60;
 /// A worker's clock may run 2% slow; orders under way take a moment.
@@ -57,15 +59,19 @@
     co_return;
   }
   auto page = co_await platform_.Read(kLeaseTable, kPart, "", kReadTimeout);
+  if (leads_) co_return;
   if (!page) {
     beat_watch_.OnUnreadable();
+    // Another node may know who leads.
+    const std::string peer = RandomPeer();
+    bool refused = false;
+    if (!peer.empty()) co_await AskPeer(peer, &refused);
     co_await kernel::Sleep(kRetryPause);
     co_return;
   }
   const LeaseView view = ReadLease(page->rows);
-  const bool changed = view.lease_version != lease_.lease_version;
-  if (changed) {
-    holder_gone_ = false;
+  if (view.lease_version != lease_.lease_version) {
+    holder_gone_ = holder_stalls_ = false;
     if (view.lease) {
       LogLine(LogLevel::kInfo, "leader_seen")
           .With("holder", view.lease->holder)
@@ -78,11 +84,14 @@
   beat_watch_.OnRead(view, now);
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
+  const bool silent =
+      beat_watch_.IsSilent(now, holder_stalls_ ? kStall : kSilence);
   const bool candidate = config_.version > 0 && !stopping_;
-  if (candidate && (free || holder_gone_ || beat_watch_.IsSilent(now))) {
+  if (candidate && (free || holder_gone_ || silent)) {
     LogLine(LogLevel::kInfo, "lease_is_free")
         .With("released", free)
         .With("holder_gone", holder_gone_)
+        .With("holder_stalls", holder_stalls_)
         .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
     co_await kernel::Sleep(
         {static_cast<std::int64_t>(random_() % kMostJitterMs)});
@@ -95,29 +104,101 @@
 }
 
 // True while the holder says that it leads and renews. Evidence that it leads
-// no more is kept in `holder_gone_`.
+// no more, or can't renew, is kept.
 Awaitable<bool> NodeProcess::HolderAnswers() {
   const LeaseRow holder = *lease_.lease;
+  bool refused = false;
+  if (!co_await AskPeer(holder.address, &refused)) {
+    holder_gone_ = holder_gone_ || refused;
+    co_return false;
+  }
+  if (heard_incarnation_ != holder.incarnation || !heard_leads_) {
+    // A newer leader may have been named in the answer.
+    const bool same =
+        lease_.lease && lease_.lease->incarnation == holder.incarnation;
+    holder_gone_ = same;
+    co_return false;
+  }
+  holder_gone_ = false;
+  holder_stalls_ = heard_renewal_age_ms_ >= kRenewalLate.count;
+  co_return !holder_stalls_;
+}
+
+peer::gen::LeaderCheck NodeProcess::Introduction(std::int64_t config_version) {
   peer::gen::LeaderCheck check;
+  const Millis now = clock_.Now();
   check.__set_incarnation(static_cast<std::int64_t>(incarnation_));
+  check.__set_leads(leads_);
+  check.__set_term(static_cast<std::int64_t>(term_));
+  check.__set_renewal_age_ms((now - renewed_).count);
+  const auto version = static_cast<std::int64_t>(config_.version);
+  check.__set_config_version(version);
+  if (version > config_version) check.__set_config(config_source_);
+  if (lease_.lease) check.__set_lease(EncodeLease(*lease_.lease));
+  check.__set_sender(settings_.peer);
+  std::vector<std::string> peers;
+  for (const auto& [address, heard] : peers_heard_) {
+    if (now - heard < kPeerForgotten) peers.push_back(address);
+  }
+  check.__set_peers(peers);
+  return check;
+}
+
+// Takes over what a peer knows better: the configuration and who leads.
+void NodeProcess::Learn(const peer::gen::LeaderCheck& check) {
+  const Millis now = clock_.Now();
+  if (!check.sender.empty()) peers_heard_[check.sender] = now;
+  for (const std::string& it : check.peers) {
+    if (it != settings_.peer) peers_heard_.try_emplace(it, now);
+  }
+  std::erase_if(peers_heard_, [&](const auto& it) {
+    return now - it.second >= kPeerForgotten;
+  });
+  if (!check.config.empty()) {
+    ApplyOperatorRow({"", "", std::string(kConfigKey), check.config});
+  }
+  const auto lease = DecodeLease(check.lease);
+  if (!lease) return;
+  const bool newer = !lease_.lease || lease->term > lease_.lease->term ||
+                     (lease->term == lease_.lease->term && lease->released);
+  if (!newer || lease->incarnation == incarnation_) return;
+  if (leads_) {
+    if (lease->term <= term_) return;
+    StepDown("a peer knows a newer leader");
+  }
+  LogLine(LogLevel::kInfo, "leader_heard_of")
+      .With("holder", lease->holder)
+      .With("term", lease->term)
+      .With("from", check.sender);
+  lease_ = {};
+  lease_.lease = lease;
+  holder_gone_ = holder_stalls_ = false;
+}
+
+std::string NodeProcess::RandomPeer() {
+  if (peers_heard_.empty()) return {};
+  auto it = peers_heard_.begin();
+  std::advance(it, static_cast<std::ptrdiff_t>(random_() % peers_heard_.size()));
+  return it->first;
+}
+
+Awaitable<bool> NodeProcess::AskPeer(std::string address, bool* refused) {
   peer::gen::Message message;
-  message.__set_leader_check(check);
-  auto answer = co_await peers_.Call(holder.address, std::move(message),
-                                     kCheckTimeout);
+  message.__set_leader_check(Introduction(heard_config_));
+  auto answer =
+      co_await peers_.Call(address, std::move(message), kCheckTimeout);
   if (!answer) {
-    holder_gone_ = holder_gone_ || answer.error().refused;
+    *refused = answer.error().refused;
     co_return false;
   }
   if (!answer->__isset.leader_check) co_return false;
   const peer::gen::LeaderCheck& reply = answer->leader_check;
-  const bool same =
-      static_cast<std::uint64_t>(reply.incarnation) == holder.incarnation;
-  if (!same || !reply.leads) {
-    holder_gone_ = true;
-    co_return false;
-  }
-  holder_gone_ = false;
-  co_return reply.renewal_age_ms < kRenewalLate.count;
+  Learn(reply);
+  heard_incarnation_ = static_cast<std::uint64_t>(reply.incarnation);
+  heard_leads_ = reply.leads;
+  heard_renewal_age_ms_ = reply.renewal_age_ms;
+  heard_config_ = reply.config_version;
+  co_return true;
 }
 
 // `stopped`: the last holder has given no order after this local time.
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -16,6 +16,7 @@
 
 using base::Millis;
 
+inline constexpr std::string_view kConfigKey = "config";
 inline constexpr const char* kPart = "main";
 inline constexpr const char* kLeaseTable = "lead";
 inline constexpr const char* kLeaseKey = "lease";
@@ -30,6 +31,8 @@
 /// Above the renewal interval and one slow answer; below `kOrderLimit`, which
 /// workers' fences make safe.
 inline constexpr Millis kSilence{2000};
+/// Enough when the holder itself says that it can't renew.
+inline constexpr Millis kStall{300};
 /// Readings further apart than this don't show that the beat stood still.
 inline constexpr Millis kReadingGap{900};
 
@@ -62,8 +65,9 @@
   void OnRead(const LeaseView& view, Millis now);
   /// A reading failed: the time before it proves nothing.
   void OnUnreadable() { since_ = std::nullopt; }
-  [[nodiscard]] bool IsSilent(Millis now) const {
-    return since_ && now - *since_ >= kSilence;
+  /// True when the beat stood still for so long while the store was read.
+  [[nodiscard]] bool IsSilent(Millis now, Millis length) const {
+    return since_ && now - *since_ >= length;
   }
   /// The holder's last renewal was sent before this.
   [[nodiscard]] Millis renewed_before() const { return first_seen_; }
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr const char* kOperatorTable = "op";
-constexpr std::string_view kConfigKey = "config";
 constexpr std::string_view kWavePrefix = "wave/";
 /// One read of the store; it answers in 4 ms, slowed sixtyfold in 240 ms.
 constexpr Millis kReadTimeout{1500};
@@ -125,13 +124,9 @@
     peer::gen::Message message) {
   peer::gen::Message answer;
   if (message.__isset.leader_check) {
-    peer::gen::LeaderCheck check;
-    check.__set_incarnation(static_cast<std::int64_t>(incarnation_));
-    check.__set_leads(leads_);
-    check.__set_term(static_cast<std::int64_t>(term_));
-    check.__set_renewal_age_ms((clock_.Now() - renewed_).count);
-    check.__set_config_version(static_cast<std::int64_t>(config_.version));
-    answer.__set_leader_check(check);
+    Learn(message.leader_check);
+    answer.__set_leader_check(
+        Introduction(message.leader_check.config_version));
     co_return answer;
   }
   if (!message.__isset.job_call) {
@@ -151,6 +146,7 @@
     out.__set_status(reply.status);
     out.__set_body(reply.body);
     out.__set_retry_after_s(reply.retry_after_s);
+    out.__set_may_have_run(reply.may_have_run);
   }
   answer.__set_job_reply(out);
   co_return answer;
@@ -187,6 +183,7 @@
         .With("before", config_.version)
         .With("queues", config->queues.size());
     config_ = *std::move(config);
+    config_source_ = row.value;
     scheduler_.SetConfiguration(config_);
     Kick();
     return;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -20,6 +20,10 @@
 #include "peer/transport.h"
 #include "platform/client.h"
 
+namespace hemlockward::peer::gen {
+class LeaderCheck;
+}  // namespace hemlockward::peer::gen
+
 /// One process on each machine that takes clients' requests. All nodes answer
 /// them; one leads and decides, the others pass requests on to it.
 namespace hemlockward::node {
@@ -41,6 +45,7 @@
   int status = 503;  ///< 0: not answered, as this node doesn't lead.
   std::string body;
   std::int64_t retry_after_s = 0;
+  bool may_have_run = false;  ///< With status 0: it may still take effect.
 };
 
 class NodeProcess {
@@ -73,6 +78,12 @@
   Awaitable<void> WatchLease();
   Awaitable<void> WatchOnce();
   Awaitable<bool> HolderAnswers();
+  /// Exchanges leader and configuration with a peer; false without an answer.
+  Awaitable<bool> AskPeer(std::string address, bool* refused);
+  [[nodiscard]] peer::gen::LeaderCheck Introduction(
+      std::int64_t config_version);
+  void Learn(const peer::gen::LeaderCheck& check);
+  std::string RandomPeer();
   Awaitable<void> TakeLease(const LeaseView& view, Millis renewed_before);
   Awaitable<bool> Load(std::uint64_t term);
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
@@ -118,14 +129,21 @@
 
   // What the operator wrote.
   jobs::Configuration config_;
+  std::string config_source_;  ///< The operator's row, for peers.
   std::map<int, jobs::WaveOrder> waves_;
   std::uint64_t operator_version_ = 0;
 
   // Leadership.
   LeaseView lease_;
   BeatWatch beat_watch_;
-  Millis holder_answered_{-1'000'000};
   bool holder_gone_ = false;  ///< Evidence that the holder leads no more.
+  bool holder_stalls_ = false;  ///< It says that it can't renew.
+  std::map<std::string, Millis> peers_heard_;
+  /// What a peer last said of itself, for the exchange that follows.
+  std::uint64_t heard_incarnation_ = 0;
+  std::int64_t heard_renewal_age_ms_ = 0;
+  bool heard_leads_ = false;
+  std::int64_t heard_config_ = 0;
   bool leads_ = false;
   bool loaded_ = false;
   bool stopping_ = false;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2285,6 +2285,10 @@
 void JobReply::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
+
+void JobReply::__set_may_have_run(const bool val) {
+  this->may_have_run = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobReply& obj)
 {
   obj.printTo(out);
@@ -2345,6 +2349,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_have_run);
+          this->__isset.may_have_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2378,6 +2390,10 @@
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("may_have_run", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->may_have_run);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2389,6 +2405,7 @@
   swap(a.body, b.body);
   swap(a.retry_after_s, b.retry_after_s);
   swap(a.config_version, b.config_version);
+  swap(a.may_have_run, b.may_have_run);
   swap(a.__isset, b.__isset);
 }
 
@@ -2397,6 +2414,7 @@
   body = other92.body;
   retry_after_s = other92.retry_after_s;
   config_version = other92.config_version;
+  may_have_run = other92.may_have_run;
   __isset = other92.__isset;
 }
 JobReply& JobReply::operator=(const JobReply& other93) {
@@ -2404,6 +2422,7 @@
   body = other93.body;
   retry_after_s = other93.retry_after_s;
   config_version = other93.config_version;
+  may_have_run = other93.may_have_run;
   __isset = other93.__isset;
   return *this;
 }
@@ -2414,6 +2433,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "retry_after_s=" << to_string(retry_after_s);
   out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "may_have_run=" << to_string(may_have_run);
   out << ")";
 }
 
@@ -2441,6 +2461,22 @@
 void LeaderCheck::__set_config_version(const int64_t val) {
   this->config_version = val;
 }
+
+void LeaderCheck::__set_config(const std::string& val) {
+  this->config = val;
+}
+
+void LeaderCheck::__set_lease(const std::string& val) {
+  this->lease = val;
+}
+
+void LeaderCheck::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void LeaderCheck::__set_peers(const std::vector<std::string> & val) {
+  this->peers = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2509,6 +2545,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->config);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peers.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->peers.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += iprot->readString(this->peers[_i98]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2546,6 +2626,30 @@
   xfer += oprot->writeI64(this->config_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->config);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->peers.begin(); _iter99 != this->peers.end(); ++_iter99)
+    {
+      xfer += oprot->writeString((*_iter99));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2558,24 +2662,36 @@
   swap(a.term, b.term);
   swap(a.renewal_age_ms, b.renewal_age_ms);
   swap(a.config_version, b.config_version);
+  swap(a.config, b.config);
+  swap(a.lease, b.lease);
+  swap(a.sender, b.sender);
+  swap(a.peers, b.peers);
   swap(a.__isset, b.__isset);
 }
 
-LeaderCheck::LeaderCheck(const LeaderCheck& other94) noexcept {
-  incarnation = other94.incarnation;
-  leads = other94.leads;
-  term = other94.term;
-  renewal_age_ms = other94.renewal_age_ms;
-  config_version = other94.config_version;
-  __isset = other94.__isset;
-}
-LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other95) noexcept {
-  incarnation = other95.incarnation;
-  leads = other95.leads;
-  term = other95.term;
-  renewal_age_ms = other95.renewal_age_ms;
-  config_version = other95.config_version;
-  __isset = other95.__isset;
+LeaderCheck::LeaderCheck(const LeaderCheck& other100) {
+  incarnation = other100.incarnation;
+  leads = other100.leads;
+  term = other100.term;
+  renewal_age_ms = other100.renewal_age_ms;
+  config_version = other100.config_version;
+  config = other100.config;
+  lease = other100.lease;
+  sender = other100.sender;
+  peers = other100.peers;
+  __isset = other100.__isset;
+}
+LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other101) {
+  incarnation = other101.incarnation;
+  leads = other101.leads;
+  term = other101.term;
+  renewal_age_ms = other101.renewal_age_ms;
+  config_version = other101.config_version;
+  config = other101.config;
+  lease = other101.lease;
+  sender = other101.sender;
+  peers = other101.peers;
+  __isset = other101.__isset;
   return *this;
 }
 void LeaderCheck::printTo(std::ostream& out) const {
@@ -2586,6 +2702,10 @@
   out << ", " << "term=" << to_string(term);
   out << ", " << "renewal_age_ms=" << to_string(renewal_age_ms);
   out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "config=" << to_string(config);
+  out << ", " << "lease=" << to_string(lease);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "peers=" << to_string(peers);
   out << ")";
 }
 
@@ -2895,37 +3015,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other96) {
-  heartbeat = other96.heartbeat;
-  heartbeat_reply = other96.heartbeat_reply;
-  delta_request = other96.delta_request;
-  delta_reply = other96.delta_reply;
-  forward_request = other96.forward_request;
-  forward_reply = other96.forward_reply;
-  outcome_request = other96.outcome_request;
-  slot_request = other96.slot_request;
-  slot_reply = other96.slot_reply;
-  error = other96.error;
-  job_call = other96.job_call;
-  job_reply = other96.job_reply;
-  leader_check = other96.leader_check;
-  __isset = other96.__isset;
-}
-Message& Message::operator=(const Message& other97) {
-  heartbeat = other97.heartbeat;
-  heartbeat_reply = other97.heartbeat_reply;
-  delta_request = other97.delta_request;
-  delta_reply = other97.delta_reply;
-  forward_request = other97.forward_request;
-  forward_reply = other97.forward_reply;
-  outcome_request = other97.outcome_request;
-  slot_request = other97.slot_request;
-  slot_reply = other97.slot_reply;
-  error = other97.error;
-  job_call = other97.job_call;
-  job_reply = other97.job_reply;
-  leader_check = other97.leader_check;
-  __isset = other97.__isset;
+Message::Message(const Message& other102) {
+  heartbeat = other102.heartbeat;
+  heartbeat_reply = other102.heartbeat_reply;
+  delta_request = other102.delta_request;
+  delta_reply = other102.delta_reply;
+  forward_request = other102.forward_request;
+  forward_reply = other102.forward_reply;
+  outcome_request = other102.outcome_request;
+  slot_request = other102.slot_request;
+  slot_reply = other102.slot_reply;
+  error = other102.error;
+  job_call = other102.job_call;
+  job_reply = other102.job_reply;
+  leader_check = other102.leader_check;
+  __isset = other102.__isset;
+}
+Message& Message::operator=(const Message& other103) {
+  heartbeat = other103.heartbeat;
+  heartbeat_reply = other103.heartbeat_reply;
+  delta_request = other103.delta_request;
+  delta_reply = other103.delta_reply;
+  forward_request = other103.forward_request;
+  forward_reply = other103.forward_reply;
+  outcome_request = other103.outcome_request;
+  slot_request = other103.slot_request;
+  slot_reply = other103.slot_reply;
+  error = other103.error;
+  job_call = other103.job_call;
+  job_reply = other103.job_reply;
+  leader_check = other103.leader_check;
+  __isset = other103.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -870,11 +870,12 @@
 std::ostream& operator<<(std::ostream& out, const JobCall& obj);
 
 typedef struct _JobReply__isset {
-  _JobReply__isset() : status(false), body(false), retry_after_s(false), config_version(false) {}
+  _JobReply__isset() : status(false), body(false), retry_after_s(false), config_version(false), may_have_run(false) {}
   bool status :1;
   bool body :1;
   bool retry_after_s :1;
   bool config_version :1;
+  bool may_have_run :1;
 } _JobReply__isset;
 
 class JobReply : public virtual ::apache::thrift::TBase {
@@ -886,7 +887,8 @@
            : status(0),
              body(),
              retry_after_s(0),
-             config_version(0) {
+             config_version(0),
+             may_have_run(0) {
   }
 
   virtual ~JobReply() noexcept;
@@ -894,6 +896,7 @@
   std::string body;
   int64_t retry_after_s;
   int64_t config_version;
+  bool may_have_run;
 
   _JobReply__isset __isset;
 
@@ -905,6 +908,8 @@
 
   void __set_config_version(const int64_t val);
 
+  void __set_may_have_run(const bool val);
+
   bool operator == (const JobReply & rhs) const
   {
     if (!(status == rhs.status))
@@ -915,6 +920,8 @@
       return false;
     if (!(config_version == rhs.config_version))
       return false;
+    if (!(may_have_run == rhs.may_have_run))
+      return false;
     return true;
   }
   bool operator != (const JobReply &rhs) const {
@@ -934,25 +941,32 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
   bool renewal_age_ms :1;
   bool config_version :1;
+  bool config :1;
+  bool lease :1;
+  bool sender :1;
+  bool peers :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
  public:
 
-  LeaderCheck(const LeaderCheck&) noexcept;
-  LeaderCheck& operator=(const LeaderCheck&) noexcept;
+  LeaderCheck(const LeaderCheck&);
+  LeaderCheck& operator=(const LeaderCheck&);
   LeaderCheck() noexcept
               : incarnation(0),
                 leads(0),
                 term(0),
                 renewal_age_ms(0),
-                config_version(0) {
+                config_version(0),
+                config(),
+                lease(),
+                sender() {
   }
 
   virtual ~LeaderCheck() noexcept;
@@ -961,6 +975,10 @@
   int64_t term;
   int64_t renewal_age_ms;
   int64_t config_version;
+  std::string config;
+  std::string lease;
+  std::string sender;
+  std::vector<std::string>  peers;
 
   _LeaderCheck__isset __isset;
 
@@ -974,6 +992,14 @@
 
   void __set_config_version(const int64_t val);
 
+  void __set_config(const std::string& val);
+
+  void __set_lease(const std::string& val);
+
+  void __set_sender(const std::string& val);
+
+  void __set_peers(const std::vector<std::string> & val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -986,6 +1012,14 @@
       return false;
     if (!(config_version == rhs.config_version))
       return false;
+    if (!(config == rhs.config))
+      return false;
+    if (!(lease == rhs.lease))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(peers == rhs.peers))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -111,6 +111,7 @@
   2: binary body,
   3: i64 retry_after_s,
   4: i64 config_version,
+  5: bool may_have_run,         // with status 0: the call may take effect
 }
 
 // Asks a node whether it still leads; the reply goes back in the same form.
@@ -120,6 +121,10 @@
   3: i64 term,
   4: i64 renewal_age_ms,        // since its newest lease renewal was sent
   5: i64 config_version,
+  6: binary config,             // the operator's row, when the other's is older
+  7: binary lease,              // the newest lease row known
+  8: string sender,             // `IP:port` for peers' calls
+  9: list<string> peers,        // other nodes heard of lately
 }
 
 union Message {
