Step down at a worker's fence; order machines sooner after a takeover

Cause: after a takeover no machine was ordered for up to 7 s, also when the last holder had ended or handed over, and a deposed leader that couldn't reach the store went on answering. A lasting task found no place, as pools were sized by processor need alone. Ruled out: slow loading (65 to 100 ms).

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -235,6 +235,8 @@
     Pool& pool = it->second;
     pool.machine_cpu =
         std::max(pool.machine_cpu, state.machine.capacity.cpu_milli);
+    pool.machine_memory =
+        std::max(pool.machine_memory, state.machine.capacity.memory_mb);
     if (state.machine.state == MachineState::kMoving ||
         state.machine.state == MachineState::kUpkeep) {
       ++pool.coming;
@@ -258,9 +260,11 @@
       for (const auto& [id, state] : machines_) {
         pool.machine_cpu =
             std::max(pool.machine_cpu, state.machine.capacity.cpu_milli);
+        pool.machine_memory =
+            std::max(pool.machine_memory, state.machine.capacity.memory_mb);
       }
     }
-    const PoolDemand demand = scheduler.Demand(name);
+    const PoolDemand demand = scheduler.Demand(name, now);
     const auto machine = static_cast<double>(
         std::max<std::int64_t>(1, pool.machine_cpu));
     const auto now_cpu =
@@ -269,6 +273,13 @@
         now_cpu + kLaterShare * static_cast<double>(demand.later_cpu);
     pool.need = static_cast<int>(std::ceil(now_cpu * kNeedFactor / machine));
     pool.need_soon = static_cast<int>(std::ceil(soon * kNeedFactor / machine));
+    const auto memory = static_cast<double>(
+        std::max<std::int64_t>(1, pool.machine_memory));
+    const int by_memory = static_cast<int>(std::ceil(
+        static_cast<double>(demand.memory_mb) * kNeedFactor / memory));
+    pool.need = std::max({pool.need, demand.spread, by_memory});
+    if (demand.stuck) pool.need = std::max(pool.need, pool.have + 1);
+    pool.need_soon = std::max(pool.need_soon, pool.need);
     std::sort(pool.idle.begin(), pool.idle.end(),
               [&](const std::string& a, const std::string& b) {
                 const auto idle = [&](const std::string& it) {
@@ -280,7 +291,6 @@
               });
     list.push_back(std::move(pool));
   }
-  (void)now;
   return list;
 }
 
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -67,6 +67,7 @@
   struct Pool {
     std::string name;
     std::int64_t machine_cpu = 0;
+    std::int64_t machine_memory = 0;
     int have = 0;    ///< Up, and not being emptied.
     int coming = 0;  ///< Under way to it.
     int need = 0;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -16,6 +16,8 @@
 constexpr int kRunsPerTerm = 1000;
 // The longest a batch may be; the platform allows 100 rows a transaction.
 constexpr std::size_t kMostRows = 80;
+// A lasting task that waits longer asks for one more machine.
+constexpr Millis kStuck{500};
 constexpr Millis kExpiryInterval = base::Seconds(1);
 
 Millis LongestChain(const JobSpec& spec) {
@@ -378,7 +380,7 @@
   }
 }
 
-PoolDemand Scheduler::Demand(std::string_view service) const {
+PoolDemand Scheduler::Demand(std::string_view service, Millis now) const {
   PoolDemand demand;
   for (const Job* job : open_) {
     if (PoolOf(*job) != service) continue;
@@ -387,25 +389,31 @@
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const StepSpec& spec = job->spec.steps[i];
         const Step& step = occurrence.steps[i];
-        if (spec.fills) continue;
         const bool open =
             std::all_of(spec.after.begin(), spec.after.end(), [&](int n) {
               return occurrence.steps[n].done ==
                      job->spec.steps[n].task_count;
             });
         const std::int64_t left = spec.task_count - step.done;
+        const std::int64_t cpu = spec.fills ? 0 : spec.need.cpu_milli;
         if (!open) {
-          later = std::max(later, left * spec.need.cpu_milli);
+          later = std::max(later, left * cpu);
           continue;
         }
         std::int64_t live = 0;
-        for (const Task& task : step.tasks) live += task.live > 0 ? 1 : 0;
-        demand.running_cpu += live * spec.need.cpu_milli;
-        const std::int64_t ready = std::max<std::int64_t>(0, left - live);
-        demand.ready_cpu += ready * spec.need.cpu_milli;
-        if (ready > 0) {
-          demand.widest_task =
-              std::max(demand.widest_task, spec.need.cpu_milli);
+        for (const Task& task : step.tasks) {
+          live += task.live > 0 ? 1 : 0;
+          demand.stuck = demand.stuck ||
+                         (spec.lasting && task.live == 0 &&
+                          now - task.idle_since > kStuck);
+        }
+        demand.running_cpu += live * cpu;
+        demand.ready_cpu += std::max<std::int64_t>(0, left - live) * cpu;
+        demand.memory_mb += left * spec.need.memory_mb;
+        if (spec.max_per_worker > 0) {
+          const std::int64_t spread =
+              (left + spec.max_per_worker - 1) / spec.max_per_worker;
+          demand.spread = std::max(demand.spread, static_cast<int>(spread));
         }
       }
       demand.later_cpu += later;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -191,7 +191,9 @@
   std::int64_t ready_cpu = 0;    ///< Of tasks that could start now.
   std::int64_t running_cpu = 0;  ///< Of runs at work.
   std::int64_t later_cpu = 0;    ///< Of the widest step still to come, by job.
-  std::int64_t widest_task = 0;  ///< Largest need of one waiting task.
+  std::int64_t memory_mb = 0;    ///< Of tasks at work or able to start.
+  int spread = 0;  ///< Machines that limits of tasks per worker ask for.
+  bool stuck = false;  ///< A lasting task has waited for a place for long.
 };
 
 class Scheduler {
@@ -256,7 +258,7 @@
     return workers_;
   }
   [[nodiscard]] const Configuration& configuration() const { return config_; }
-  [[nodiscard]] PoolDemand Demand(std::string_view service) const;
+  [[nodiscard]] PoolDemand Demand(std::string_view service, Millis now) const;
   /// True when nothing runs on the worker, or ends there of itself soon.
   [[nodiscard]] bool IsIdle(const Worker& worker) const;
   /// Stops what may be stopped on workers that are being emptied.
--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -22,6 +22,8 @@
 constexpr Millis kForwardTimeout{900};
 /// Without a leader a request waits this long for one, then is refused.
 constexpr Millis kLeaderWait{1500};
+/// A node that stops answers this long before it goes.
+constexpr Millis kStopReserve{200};
 /// A commit that takes this long shows that the store is away: the store
 /// answers in 4 ms, slowed sixtyfold in 240 ms.
 constexpr Millis kStoreStall{800};
@@ -48,9 +50,13 @@
     co_return Refused(404, "no such queue");
   }
   const Millis begin = clock_.Now();
-  const Millis limit = call.deadline - kReturnTime;
+  const Millis client_limit = call.deadline;
   bool may_have_run = false;
   while (true) {
+    if (stopping_) {
+      call.deadline = std::min(client_limit, stop_limit_ - kStopReserve);
+    }
+    const Millis limit = call.deadline - kReturnTime;
     Reply reply;
     if (leads_) {
       Call copy = call;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -180,9 +180,9 @@
           .With("error", report.error().what);
     }
     worker->silent = true;
-    // A refusal may come from a newer leader's fence: the commit will tell.
     if (report.error().failure == CallFailure::kConflict) {
-      commit_signal_.Notify();
+      StepDown("a worker obeys a newer leader");
+      co_return;
     }
     co_await hold_signals_.at(id)->Wait(kSilentPause);
     co_return;
@@ -263,8 +263,11 @@
       .With("reason", reply.reason)
       .With("ms", (now - sent).count);
   if (!Leads(term)) co_return;
+  if (answer == jobs::StartAnswer::kFenced) {
+    StepDown("a worker obeys a newer leader");
+    co_return;
+  }
   scheduler_.OnStart(order, answer, sent, now);
-  if (answer == jobs::StartAnswer::kFenced) commit_signal_.Notify();
   if (answer != jobs::StartAnswer::kStarted) Kick();
 }
 
@@ -340,7 +343,7 @@
         fleet_.OnMachines(*machines, scheduler_, sent);
       }
     }
-    if (!MayOrder()) continue;
+    if (!MayOrderMachines()) continue;
     for (auto& it : fleet_.Plan(waves_, scheduler_, clock_.Now())) {
       pool_.Spawn("machine", ExecuteMachine(term, std::move(it)));
     }
@@ -353,6 +356,7 @@
   using jobs::MachineAnswer;
   const platform::Authority authority{settings_.name, fence_};
   tl::expected<bool, platform::CallError> done;
+  machine_ordered_ = clock_.Now();
   if (order.wave > 0) {
     done = co_await platform_.Upkeep(authority, order.machine, order.wave,
                                      kMachineTimeout);
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -22,11 +22,12 @@
 constexpr Millis kReadInterval{250};
 constexpr Millis kRetryPause{100};
 /// A holder whose newest renewal is older than this may be cut off.
-constexpr Millis kRenewalLate{1600};
+constexpr Millis kRenewalLate{1300};
 /// A peer that wasn't heard of for so long isn't passed on.
 constexpr Millis kPeerForgotten = base::Seconds(30);
 /// Spreads the candidates, so that one transaction usually decides.
 constexpr std::int64_t kMostJitterMs = 60;
+constexpr Millis kLongUp = base::Seconds(20);
 /// A worker's clock may run 2% slow; orders under way take a moment.
 constexpr Millis kLeaseSlack{400};
 
@@ -71,7 +72,7 @@
   }
   const LeaseView view = ReadLease(page->rows);
   if (view.lease_version != lease_.lease_version) {
-    holder_gone_ = holder_stalls_ = false;
+    holder_gone_ = holder_stalls_ = holder_ended_ = false;
     if (view.lease) {
       LogLine(LogLevel::kInfo, "leader_seen")
           .With("holder", view.lease->holder)
@@ -93,11 +94,12 @@
         .With("holder_gone", holder_gone_)
         .With("holder_stalls", holder_stalls_)
         .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
-    co_await kernel::Sleep(
-        {static_cast<std::int64_t>(random_() % kMostJitterMs)});
-    const Millis stopped =
-        free ? now : beat_watch_.renewed_before() + kOrderLimit;
-    co_await TakeLease(view, stopped);
+    // Machines are often restarted in turn: one that has been is the safer
+    // leader.
+    std::int64_t wait = static_cast<std::int64_t>(random_() % kMostJitterMs);
+    if (now - started_ > kLongUp) wait += kMostJitterMs;
+    co_await kernel::Sleep({wait});
+    co_await TakeLease(view);
     co_return;
   }
   co_await kernel::Sleep(kReadInterval);
@@ -112,6 +114,7 @@
     holder_gone_ = holder_gone_ || refused;
     co_return false;
   }
+  holder_ended_ = heard_incarnation_ != holder.incarnation;
   if (heard_incarnation_ != holder.incarnation || !heard_leads_) {
     // A newer leader may have been named in the answer.
     const bool same =
@@ -172,7 +175,7 @@
       .With("from", check.sender);
   lease_ = {};
   lease_.lease = lease;
-  holder_gone_ = holder_stalls_ = false;
+  holder_gone_ = holder_stalls_ = holder_ended_ = false;
 }
 
 std::string NodeProcess::RandomPeer() {
@@ -201,10 +204,26 @@
   co_return true;
 }
 
-// `stopped`: the last holder has given no order after this local time.
-Awaitable<void> NodeProcess::TakeLease(const LeaseView& view, Millis stopped) {
+Awaitable<void> NodeProcess::TakeLease(const LeaseView& view) {
+  // When the last holder has given its last order, on our clock.
+  const Millis seen = clock_.Now();
+  const bool first = !view.lease;
+  const bool ended = first || view.lease->released || holder_ended_ ||
+                     view.lease->incarnation == incarnation_;
+  const Millis stopped =
+      ended ? seen : beat_watch_.renewed_before() + kOrderLimit;
+  Millis machines_from = seen + settings_.machine_turn;
+  if (first) {
+    machines_from = seen;
+  } else if (view.lease->released) {
+    machines_from = machines_from - view.lease->machine_order_age;
+  } else if (!ended) {
+    machines_from = std::max(seen, beat_watch_.renewed_before() +
+                                       kMachineOrderLimit) +
+                    settings_.machine_turn;
+  }
   const std::uint64_t term = view.lease ? view.lease->term + 1 : 0;
-  LeaseRow row{settings_.name, settings_.peer, incarnation_, term, false};
+  const LeaseRow row{settings_.name, settings_.peer, incarnation_, term};
   platform::StoreTransaction transaction;
   transaction.part = kPart;
   transaction.conditions.push_back(
@@ -236,9 +255,7 @@
   const Millis lease = settings_.longest_lease + kLeaseSlack;
   scheduler_.BeginTerm(term, std::max(stopped, took_over_) + lease);
   scheduler_.SetConfiguration(config_);
-  fleet_.BeginTerm(term == 0 ? took_over_
-                             : std::max(stopped, took_over_) +
-                                   settings_.machine_turn);
+  fleet_.BeginTerm(machines_from);
   wave_states_.clear();
   LogLine(LogLevel::kInfo, "lease_taken")
       .With("term", term)
@@ -326,7 +343,8 @@
   const std::string beat = EncodeBeat(term, ++beat_number_);
   transaction.writes.push_back({kLeaseTable, kBeatKey, beat});
   if (release) {
-    LeaseRow row{settings_.name, settings_.peer, incarnation_, term, true};
+    const LeaseRow row{settings_.name, settings_.peer, incarnation_, term,
+                       true,           clock_.Now() - machine_ordered_};
     transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
   }
   committing_ = true;
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -13,7 +13,8 @@
                    {"address", row.address},
                    {"incarnation", std::to_string(row.incarnation)},
                    {"term", row.term},
-                   {"released", row.released}});
+                   {"released", row.released},
+                   {"machine_order_age", row.machine_order_age.count}});
 }
 
 std::optional<LeaseRow> DecodeLease(std::string_view text) {
@@ -38,6 +39,8 @@
       std::strtoull(incarnation->get_string().c_str(), nullptr, 10);
   row.term = term->to_number<std::uint64_t>();
   row.released = released->get_bool();
+  const json::value* age = object.if_contains("machine_order_age");
+  if (age && age->is_int64()) row.machine_order_age = {age->get_int64()};
   return row;
 }
 
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -26,6 +26,8 @@
 /// than most outages of the store; short enough to bound what an unreachable
 /// worker may still be running after a takeover.
 inline constexpr Millis kOrderLimit{4000};
+/// The same for machine orders, which no worker's fence guards.
+inline constexpr Millis kMachineOrderLimit{1500};
 inline constexpr Millis kRenewInterval{700};
 /// A renewal this late, while the store can be read, is taken as silence.
 /// Above the renewal interval and one slow answer; below `kOrderLimit`, which
@@ -42,6 +44,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t term = 0;
   bool released = false;
+  /// When released: time since the last machine order.
+  Millis machine_order_age{0};
 };
 
 std::string EncodeLease(const LeaseRow& row);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -68,6 +68,7 @@
       pool_, settings_.front, FrontLimits(), [this](HttpRequest request) {
         return ServeClient(std::move(request));
       });
+  started_ = clock_.Now();
   LogLine(LogLevel::kInfo, "start")
       .With("node", settings_.name)
       .With("incarnation", incarnation_)
@@ -234,6 +235,7 @@
 void NodeProcess::BeginStop() {
   if (stopping_) return;
   stopping_ = true;
+  stop_limit_ = clock_.Now() + settings_.grace - kStopMargin;
   LogLine(LogLevel::kInfo, "stop")
       .With("node", settings_.name)
       .With("leads", leads_)
@@ -244,7 +246,7 @@
 
 Awaitable<void> NodeProcess::Stop() {
   const Millis begin = clock_.Now();
-  const Millis limit = begin + settings_.grace - kStopMargin;
+  const Millis limit = stop_limit_;
   if (leads_) {
     while (committing_ && clock_.Now() < limit) {
       co_await stored_signal_.Wait(kRetryPause);
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -84,7 +84,7 @@
       std::int64_t config_version);
   void Learn(const peer::gen::LeaderCheck& check);
   std::string RandomPeer();
-  Awaitable<void> TakeLease(const LeaseView& view, Millis renewed_before);
+  Awaitable<void> TakeLease(const LeaseView& view);
   Awaitable<bool> Load(std::uint64_t term);
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
   Awaitable<void> CommitLoop(std::uint64_t term);
@@ -97,6 +97,11 @@
   [[nodiscard]] bool MayOrder() const {
     return leads_ && loaded_ && clock_.Now() - renewed_ < kOrderLimit;
   }
+  /// Whether machines may be moved or taken down now. Stricter, so that the
+  /// next leader needn't wait for long.
+  [[nodiscard]] bool MayOrderMachines() const {
+    return MayOrder() && clock_.Now() - renewed_ < kMachineOrderLimit;
+  }
 
   // Leader's work (leader.cc).
   Awaitable<void> FollowWorkers(std::uint64_t term);
@@ -137,6 +142,7 @@
   LeaseView lease_;
   BeatWatch beat_watch_;
   bool holder_gone_ = false;  ///< Evidence that the holder leads no more.
+  bool holder_ended_ = false;  ///< Another process answers at its address.
   bool holder_stalls_ = false;  ///< It says that it can't renew.
   std::map<std::string, Millis> peers_heard_;
   /// What a peer last said of itself, for the exchange that follows.
@@ -154,6 +160,9 @@
   std::uint64_t beat_number_ = 0;
   Millis renewed_{0};  ///< When the newest successful renewal was sent.
   Millis took_over_{0};
+  Millis machine_ordered_{0};  ///< When the newest machine order was sent.
+  Millis started_{0};
+  Millis stop_limit_{0};  ///< With `stopping_`: when all answers are due.
   Millis commit_started_{0};
   kernel::Signal commit_signal_;  ///< There is something to commit.
   kernel::Signal stored_signal_;  ///< Something was committed, or lost.
@@ -166,7 +175,6 @@
   std::map<std::string, std::unique_ptr<kernel::Signal>> hold_signals_;
   kernel::Signal plan_signal_;
   bool plan_due_ = false;
-  bool machine_busy_ = false;
   std::map<int, bool> wave_states_;  ///< As written; true: completed.
 
   std::unique_ptr<kernel::HttpServer> front_;
