Pools follow the rate at which work arrives, not just the backlog

Cause: at the start of a turn the backlog asks for few machines, which come 1.5 s later, when the objective (about 2.2 s) is nearly gone. Ruled out: a shortage of machines (half of them were off).

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -271,7 +271,9 @@
         static_cast<double>(demand.ready_cpu + demand.running_cpu);
     const double soon =
         now_cpu + kLaterShare * static_cast<double>(demand.later_cpu);
-    pool.need = static_cast<int>(std::ceil(now_cpu * kNeedFactor / machine));
+    const double most =
+        std::max(now_cpu, static_cast<double>(demand.arriving_cpu));
+    pool.need = static_cast<int>(std::ceil(most * kNeedFactor / machine));
     pool.need_soon = static_cast<int>(std::ceil(soon * kNeedFactor / machine));
     const auto memory = static_cast<double>(
         std::max<std::int64_t>(1, pool.machine_memory));
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -1,6 +1,7 @@
 #include "jobs/scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/log.h"
 #include "jobs/rows.h"
@@ -20,6 +21,9 @@
 constexpr Millis kStuck{500};
 constexpr Millis kExpiryInterval = base::Seconds(1);
 
+// Short enough to see the start of a turn, long enough to hold several jobs.
+constexpr double kRateWindowMs = 500;
+
 Millis LongestChain(const JobSpec& spec) {
   std::vector<Millis> ends;
   Millis longest{0};
@@ -34,6 +38,16 @@
 
 }  // namespace
 
+void ArrivalRate::Add(double core_ms, Millis now) {
+  value_ = Cores(now) + core_ms / kRateWindowMs;
+  at_ = now;
+}
+
+double ArrivalRate::Cores(Millis now) const {
+  const auto age = static_cast<double>((now - at_).count);
+  return value_ * std::exp(-age / kRateWindowMs);
+}
+
 std::string_view ToText(JobState state) {
   switch (state) {
     case JobState::kPending:
@@ -59,6 +73,7 @@
   workers_.clear();
   tickets_.clear();
   jobs_.clear();
+  arrivals_.clear();
   run_count_ = 0;
 }
 
@@ -117,6 +132,13 @@
   job.objective =
       now + queue.target + Millis{static_cast<std::int64_t>(stretched)};
   dirty_.insert(&job);
+  double work = 0;
+  for (const StepSpec& it : job.spec.steps) {
+    if (it.lasting) continue;
+    work += static_cast<double>(it.need.cpu_milli * it.task_count) / 1000 *
+            static_cast<double>(it.estimate.count);
+  }
+  if (job.spec.occurrences == 0) arrivals_[queue.service].Add(work, now);
   return Submission::kQueued;
 }
 
@@ -382,6 +404,11 @@
 
 PoolDemand Scheduler::Demand(std::string_view service, Millis now) const {
   PoolDemand demand;
+  const auto arrivals = arrivals_.find(service);
+  if (arrivals != arrivals_.end()) {
+    demand.arriving_cpu =
+        static_cast<std::int64_t>(arrivals->second.Cores(now) * 1000);
+  }
   for (const Job* job : open_) {
     if (PoolOf(*job) != service) continue;
     for (const Occurrence& occurrence : job->occurrences) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -186,12 +186,25 @@
 
 enum class Submission : std::uint8_t { kQueued, kKnown, kRefused };
 
+/// How much work arrives, as an exponentially weighted rate.
+class ArrivalRate {
+ public:
+  void Add(double core_ms, Millis now);
+  /// Cores that the arriving work keeps busy.
+  [[nodiscard]] double Cores(Millis now) const;
+
+ private:
+  double value_ = 0;
+  Millis at_{0};
+};
+
 /// Work that a pool still has to do.
 struct PoolDemand {
   std::int64_t ready_cpu = 0;    ///< Of tasks that could start now.
   std::int64_t running_cpu = 0;  ///< Of runs at work.
   std::int64_t later_cpu = 0;    ///< Of the widest step still to come, by job.
   std::int64_t memory_mb = 0;    ///< Of tasks at work or able to start.
+  std::int64_t arriving_cpu = 0;  ///< What the work that arrives will need.
   int spread = 0;  ///< Machines that limits of tasks per worker ask for.
   bool stuck = false;  ///< A lasting task has waited for a place for long.
 };
@@ -328,6 +341,7 @@
   std::map<std::string, Worker, std::less<>> workers_;
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;  ///< By step, then worker.
+  std::map<std::string, ArrivalRate, std::less<>> arrivals_;  ///< By pool.
   std::size_t run_count_ = 0;
 };
 
