--- a/src/kernel/program.cc
+++ b/src/kernel/program.cc
@@ -83,7 +83,8 @@
   constexpr std::int64_t kMostThreads = 256;
   reader.Text("log.level", &level_, "debug, info, warning or error");
   reader.Text("log.format", &format_, "keyvalue or json");
-  reader.Text("log.file", &file_, "file for log lines; empty: standard error, -: output");
+  reader.Text("log.file", &file_,
+              "file for log lines; empty: standard error, -: output");
   reader.Integer("threads", &threads_, "worker threads", 1, kMostThreads);
 }
 
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -189,8 +189,7 @@
 Awaitable<bool> NodeProcess::AskPeer(std::string address, bool* refused) {
   peer::gen::Message message;
   message.__set_leader_check(Introduction(heard_config_));
-  auto answer =
-      co_await peers_.Call(address, std::move(message), kCheckTimeout);
+  auto answer = co_await peers_.Call(address, message, kCheckTimeout);
   if (!answer) {
     *refused = answer.error().refused;
     co_return false;
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -61,9 +61,8 @@
         return ServeReadiness(std::move(request));
       });
   peer_server_ = std::make_unique<peer::PeerServer>(
-      pool_, settings_.peer, [this](peer::gen::Message message) {
-        return ServePeer(std::move(message));
-      });
+      pool_, settings_.peer,
+      [this](const peer::gen::Message& message) { return ServePeer(message); });
   front_ = std::make_unique<kernel::HttpServer>(
       pool_, settings_.front, FrontLimits(),
       [this](HttpRequest request) { return ServeClient(std::move(request)); });
@@ -201,7 +200,8 @@
         .With("cap", wave->cap)
         .With("duration_ms", wave->duration.count);
   }
-  waves_[wave->number] = *std::move(wave);
+  const int number = wave->number;
+  waves_[number] = *std::move(wave);
 }
 
 Awaitable<void> NodeProcess::FollowOperator() {
