--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -147,12 +147,17 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-void Scheduler::Withdraw(std::string_view id) {
-  const auto it = jobs_.find(std::string(id));
-  if (it == jobs_.end() || it->second->stored) return;
-  open_.erase(it->second.get());
-  dirty_.erase(it->second.get());
-  jobs_.erase(it);
+void Scheduler::WithdrawUnstored() {
+  std::erase_if(jobs_, [this](const auto& it) {
+    Job* job = it.second.get();
+    if (job->stored || IsOver(job->state)) return false;
+    LogLine(LogLevel::kInfo, "job_withdrawn")
+        .With("job", job->id)
+        .With("queue", job->queue);
+    open_.erase(job);
+    dirty_.erase(job);
+    return true;
+  });
 }
 
 bool Scheduler::Cancel(std::string_view id, Millis now) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -237,8 +237,9 @@
   [[nodiscard]] const Job* FindJob(std::string_view id) const;
   /// False when no such job exists.
   bool Cancel(std::string_view id, Millis now);
-  /// Takes back a job that was never stored; it must not have been started.
-  void Withdraw(std::string_view id);
+  /// Takes back all jobs that were never stored; no transaction that holds one
+  /// may be under way.
+  void WithdrawUnstored();
   [[nodiscard]] std::size_t Pending(std::string_view queue) const;
 
   /// What to send now. With `may_start` false only stops are given.
--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -21,7 +21,7 @@
 /// One try at the leader; a silent connection is given up after this.
 constexpr Millis kForwardTimeout{900};
 /// Without a leader a request waits this long for one, then is refused.
-constexpr Millis kLeaderWait{1500};
+constexpr Millis kLeaderWait{2200};
 /// A node that stops answers this long before it goes.
 constexpr Millis kStopReserve{200};
 /// A commit that takes this long shows that the store is away: the store
@@ -172,7 +172,7 @@
   const Millis limit = call.deadline - kReturnTime;
   while (Leads(term)) {
     const jobs::Job* job = scheduler_.FindJob(id);
-    if (!job) co_return Refused(503, "withdrawn");
+    if (!job) co_return Refused(503, "the store is not answering");
     if (job->stored) {
       LogLine(LogLevel::kInfo, "job_accepted")
           .With("job", id)
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -17,12 +17,15 @@
 
 constexpr Millis kReadTimeout{1500};
 constexpr Millis kCommitTimeout{1500};
+/// Commits are gathered for this long: each is a priced call, and jobs take
+/// seconds.
+constexpr Millis kCommitInterval{20};
 constexpr Millis kCheckTimeout{400};
 constexpr Millis kCheckInterval{300};
 constexpr Millis kReadInterval{250};
 constexpr Millis kRetryPause{100};
 /// A holder whose newest renewal is older than this may be cut off.
-constexpr Millis kRenewalLate{1300};
+constexpr Millis kRenewalLate{1000};
 /// A peer that wasn't heard of for so long isn't passed on.
 constexpr Millis kPeerForgotten = base::Seconds(30);
 /// Spreads the candidates, so that one transaction usually decides.
@@ -124,6 +127,7 @@
   }
   holder_gone_ = false;
   holder_stalls_ = heard_renewal_age_ms_ >= kRenewalLate.count;
+  if (!holder_stalls_) beat_watch_.OnHeard(heard_beat_, clock_.Now());
   co_return !holder_stalls_;
 }
 
@@ -138,6 +142,7 @@
   check.__set_config_version(version);
   if (version > config_version) check.__set_config(config_source_);
   if (lease_.lease) check.__set_lease(EncodeLease(*lease_.lease));
+  check.__set_beat_version(static_cast<std::int64_t>(beat_version_));
   check.__set_sender(settings_.peer);
   std::vector<std::string> peers;
   for (const auto& [address, heard] : peers_heard_) {
@@ -199,6 +204,7 @@
   Learn(reply);
   heard_incarnation_ = static_cast<std::uint64_t>(reply.incarnation);
   heard_leads_ = reply.leads;
+  heard_beat_ = static_cast<std::uint64_t>(reply.beat_version);
   heard_renewal_age_ms_ = reply.renewal_age_ms;
   heard_config_ = reply.config_version;
   co_return true;
@@ -324,7 +330,13 @@
 
 Awaitable<void> NodeProcess::CommitLoop(std::uint64_t term) {
   while (Leads(term) && !stopping_) {
-    const Millis due = renewed_ + kRenewInterval - clock_.Now();
+    const Millis now = clock_.Now();
+    const Millis due = renewed_ + kRenewInterval - now;
+    const Millis pause = commit_started_ + kCommitInterval - now;
+    if (pause.count > 0) {
+      co_await kernel::Sleep(pause);
+      continue;
+    }
     const bool changes = loaded_ && scheduler_.HasChanges();
     if (!changes && due.count > 0) {
       co_await commit_signal_.Wait(due);
@@ -351,6 +363,7 @@
   committing_ = true;
   const Millis sent = commit_started_ = clock_.Now();
   bool done = false;
+  bool unknown = false;  // An earlier send of it may still take effect.
   while (Leads(term) && !done) {
     auto version = co_await platform_.Commit(transaction, kCommitTimeout);
     if (!Leads(term)) break;
@@ -365,6 +378,19 @@
           .With("rows", batch.rows.size())
           .With("error", version.error().what);
       if (release) break;
+      const bool surely_not =
+          version.error().failure != CallFailure::kUnknown && !unknown;
+      unknown = unknown || !surely_not;
+      if (surely_not) {
+        // Nothing of it is done: its new jobs are refused, the rest goes into
+        // the next transaction.
+        scheduler_.OnCommitFailed(batch);
+        committing_ = false;
+        scheduler_.WithdrawUnstored();
+        stored_signal_.Notify();
+        co_await kernel::Sleep(kRetryPause);
+        co_return true;
+      }
       co_await kernel::Sleep(kRetryPause);
       continue;
     }
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -64,6 +64,12 @@
   return view;
 }
 
+void BeatWatch::OnHeard(std::uint64_t version, Millis now) {
+  version_ = version;
+  first_seen_ = last_read_ = now;
+  since_ = now;
+}
+
 void BeatWatch::OnRead(const LeaseView& view, Millis now) {
   if (view.beat_version != version_) {
     version_ = view.beat_version;
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -27,12 +27,12 @@
 /// worker may still be running after a takeover.
 inline constexpr Millis kOrderLimit{4000};
 /// The same for machine orders, which no worker's fence guards.
-inline constexpr Millis kMachineOrderLimit{1500};
-inline constexpr Millis kRenewInterval{700};
+inline constexpr Millis kMachineOrderLimit{1000};
+inline constexpr Millis kRenewInterval{400};
 /// A renewal this late, while the store can be read, is taken as silence.
-/// Above the renewal interval and one slow answer; below `kOrderLimit`, which
-/// workers' fences make safe.
-inline constexpr Millis kSilence{2000};
+/// Above the renewal interval and one commit at a sixtieth of the store's
+/// speed (0.55 s); below `kOrderLimit`, which workers' fences make safe.
+inline constexpr Millis kSilence{1300};
 /// Enough when the holder itself says that it can't renew.
 inline constexpr Millis kStall{300};
 /// Readings further apart than this don't show that the beat stood still.
@@ -67,6 +67,8 @@
  public:
   /// The rows were read at `now`.
   void OnRead(const LeaseView& view, Millis now);
+  /// The holder itself named its newest beat at `now`.
+  void OnHeard(std::uint64_t version, Millis now);
   /// A reading failed: the time before it proves nothing.
   void OnUnreadable() { since_ = std::nullopt; }
   /// True when the beat stood still for so long while the store was read.
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -149,6 +149,7 @@
   std::uint64_t heard_incarnation_ = 0;
   std::int64_t heard_renewal_age_ms_ = 0;
   bool heard_leads_ = false;
+  std::uint64_t heard_beat_ = 0;
   std::int64_t heard_config_ = 0;
   bool leads_ = false;
   bool loaded_ = false;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2477,6 +2477,10 @@
 void LeaderCheck::__set_peers(const std::vector<std::string> & val) {
   this->peers = val;
 }
+
+void LeaderCheck::__set_beat_version(const int64_t val) {
+  this->beat_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2589,6 +2593,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->beat_version);
+          this->__isset.beat_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2650,6 +2662,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("beat_version", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->beat_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2666,6 +2682,7 @@
   swap(a.lease, b.lease);
   swap(a.sender, b.sender);
   swap(a.peers, b.peers);
+  swap(a.beat_version, b.beat_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2679,6 +2696,7 @@
   lease = other100.lease;
   sender = other100.sender;
   peers = other100.peers;
+  beat_version = other100.beat_version;
   __isset = other100.__isset;
 }
 LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other101) {
@@ -2691,6 +2709,7 @@
   lease = other101.lease;
   sender = other101.sender;
   peers = other101.peers;
+  beat_version = other101.beat_version;
   __isset = other101.__isset;
   return *this;
 }
@@ -2706,6 +2725,7 @@
   out << ", " << "lease=" << to_string(lease);
   out << ", " << "sender=" << to_string(sender);
   out << ", " << "peers=" << to_string(peers);
+  out << ", " << "beat_version=" << to_string(beat_version);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -941,7 +941,7 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
@@ -951,6 +951,7 @@
   bool lease :1;
   bool sender :1;
   bool peers :1;
+  bool beat_version :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
@@ -966,7 +967,8 @@
                 config_version(0),
                 config(),
                 lease(),
-                sender() {
+                sender(),
+                beat_version(0) {
   }
 
   virtual ~LeaderCheck() noexcept;
@@ -979,6 +981,7 @@
   std::string lease;
   std::string sender;
   std::vector<std::string>  peers;
+  int64_t beat_version;
 
   _LeaderCheck__isset __isset;
 
@@ -1000,6 +1003,8 @@
 
   void __set_peers(const std::vector<std::string> & val);
 
+  void __set_beat_version(const int64_t val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1020,6 +1025,8 @@
       return false;
     if (!(peers == rhs.peers))
       return false;
+    if (!(beat_version == rhs.beat_version))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -125,6 +125,7 @@
   7: binary lease,              // the newest lease row known
   8: string sender,             // `IP:port` for peers' calls
   9: list<string> peers,        // other nodes heard of lately
+  10: i64 beat_version,         // of a leader's newest renewal
 }
 
 union Message {
