--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -28,7 +28,9 @@
 constexpr Millis kRepeatOrder{1000};
 constexpr Millis kListingInterval{500};
 constexpr Millis kListingIntervalIdle{1500};
-constexpr std::size_t kMostOrdersAtOnce = 4;
+// Share of the platform's rate that one leader uses, and its largest burst.
+constexpr double kRateShare = 0.8;
+constexpr double kBurstSeconds = 0.25;
 
 std::string EncodeBegun(const std::set<std::string>& machines) {
   return json::serialize(json::array(machines.begin(), machines.end()));
@@ -163,8 +165,8 @@
   std::vector<MachineOrder> orders;
   if (now < orders_from_ || machines_.empty()) return orders;
   const double gained = static_cast<double>((now - tokens_at_).count) / 1000 *
-                        settings_.orders_per_s / 2;
-  tokens_ = std::min(settings_.orders_per_s / 2, tokens_ + gained);
+                        settings_.orders_per_s * kRateShare;
+  tokens_ = std::min(settings_.orders_per_s * kBurstSeconds, tokens_ + gained);
   tokens_at_ = now;
   for (auto& [name, state] : machines_) {
     if (!state.ordered || state.in_flight) continue;
@@ -321,7 +323,7 @@
   };
   for (Pool& pool : pools) {
     int missing = pool.need - pool.have - pool.coming;
-    while (missing > 0 && tokens_ >= 1 && orders.size() < kMostOrdersAtOnce) {
+    while (missing > 0 && tokens_ >= 1) {
       if (!off.empty()) {
         move(off.back()->machine.name, pool.name);
         off.pop_back();
@@ -348,7 +350,7 @@
   for (Pool& pool : pools) {
     for (const std::string& machine : pool.idle) {
       if (pool.have <= std::max(1, pool.need_soon)) break;
-      if (tokens_ < 1 || orders.size() >= kMostOrdersAtOnce) return;
+      if (tokens_ < 1) return;
       if (machines_.at(machine).ordered) continue;
       if (idle_for(machine) < kIdleBeforeOff) continue;
       move(machine, headroom);
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -30,6 +30,9 @@
 constexpr Millis kPeerForgotten = base::Seconds(30);
 /// Spreads the candidates, so that one transaction usually decides.
 constexpr std::int64_t kMostJitterMs = 60;
+/// Nodes with a smaller share of a core let the others go first.
+constexpr double kAmpleCpu = 0.5;
+constexpr Millis kSmallWait{150};
 constexpr Millis kLongUp = base::Seconds(20);
 /// A worker's clock may run 2% slow; orders under way take a moment.
 constexpr Millis kLeaseSlack{400};
@@ -101,6 +104,9 @@
     // leader.
     std::int64_t wait = static_cast<std::int64_t>(random_() % kMostJitterMs);
     if (now - started_ > kLongUp) wait += kMostJitterMs;
+    const double small = 1 - settings_.cpu_share / kAmpleCpu;
+    wait += static_cast<std::int64_t>(std::max(0.0, small) *
+                                      static_cast<double>(kSmallWait.count));
     co_await kernel::Sleep({wait});
     co_await TakeLease(view);
     co_return;
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -5,6 +5,7 @@
 void Bind(NodeSettings& settings, base::SettingsReader& reader) {
   using Need = base::SettingsReader::Need;
   constexpr base::Millis kLongest = base::Minutes(10);
+  constexpr double kMostCores = 1024;
   constexpr double kMostSeconds = 3600;
   constexpr double kMostOrders = 1e6;
   reader.Text("name", &settings.name, "this node's name", Need::kRequired);
@@ -31,6 +32,8 @@
   reader.Duration("machine_turn", &settings.machine_turn,
                   "least time between machine orders of two holders", {0},
                   kLongest);
+  reader.Real("cpu_share", &settings.cpu_share,
+              "share of a core that this node has", 0, kMostCores);
   reader.Real("move_s", &settings.move_s, "seconds that a move takes", 0,
               kMostSeconds);
   reader.Real("upkeep_s", &settings.upkeep_s, "seconds that an upkeep takes", 0,
