A report counts only if asked for after the millisecond of the start's answer

Times are whole milliseconds; in one zone an order takes 0.2 ms, so a report asked for in the millisecond of the start's answer could have been made before the run. The test fails without the change. Also: jobs that no transaction holds are refused while the store is away.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -212,7 +212,7 @@
     const auto next = std::next(it);
     const Run& run = it->second;
     const bool settled =
-        run.phase == RunPhase::kRunning && run.settled_from <= sent;
+        run.phase == RunPhase::kRunning && run.settled_from < sent;
     if (settled && !active.contains(it->first)) EndRun(*worker, it, now);
     it = next;
   }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -160,6 +160,17 @@
   });
 }
 
+bool Scheduler::Withdraw(std::string_view id) {
+  const auto it = jobs_.find(std::string(id));
+  if (it == jobs_.end()) return false;
+  Job* job = it->second.get();
+  if (job->stored || job->sent || IsOver(job->state)) return false;
+  open_.erase(job);
+  dirty_.erase(job);
+  jobs_.erase(it);
+  return true;
+}
+
 bool Scheduler::Cancel(std::string_view id, Millis now) {
   const auto it = jobs_.find(std::string(id));
   if (it == jobs_.end()) return false;
@@ -265,6 +276,7 @@
     Job& job = **dirty_.begin();
     dirty_.erase(dirty_.begin());
     const bool over = IsOver(job.state);
+    job.sent = true;
     if (!job.stored && !over) {
       batch.rows.push_back({kJobTable, job.id, EncodeJobRow(job)});
     }
@@ -307,7 +319,9 @@
 void Scheduler::OnCommitFailed(const Batch& batch) {
   for (const auto& [id, state] : batch.shown) {
     const auto it = jobs_.find(id);
-    if (it != jobs_.end()) dirty_.insert(it->second.get());
+    if (it == jobs_.end()) continue;
+    it->second->sent = false;
+    dirty_.insert(it->second.get());
   }
   for (const RowWrite& it : batch.rows) {
     const bool rebuilt = it.table == kJobTable || it.table == kProgressTable;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -67,6 +67,7 @@
   JobState state = JobState::kPending;
   JobState shown = JobState::kPending;  ///< As committed; what clients see.
   bool stored = false;
+  bool sent = false;  ///< A transaction that holds it was sent.
   bool earlier_term = false;
   bool lasting = false;
   Millis over_since{0};
@@ -88,7 +89,7 @@
   RunPhase phase = RunPhase::kSent;
   Resources need;
   Millis sent{0};
-  /// A report asked for after this time lists the run if it exists.
+  /// A report asked for in a later millisecond lists the run if it exists.
   Millis settled_from{0};
   int percent = 0;
   Millis progress_at{0};
@@ -240,6 +241,8 @@
   /// Takes back all jobs that were never stored; no transaction that holds one
   /// may be under way.
   void WithdrawUnstored();
+  /// Takes back one job that no transaction holds; false otherwise.
+  bool Withdraw(std::string_view id);
   [[nodiscard]] std::size_t Pending(std::string_view queue) const;
 
   /// What to send now. With `may_start` false only stops are given.
--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -27,6 +27,7 @@
 /// A commit that takes this long shows that the store is away: the store
 /// answers in 4 ms, slowed sixtyfold in 240 ms.
 constexpr Millis kStoreStall{800};
+constexpr Millis kStallCheck{300};
 /// Answers that say "no such job" need a renewal this recent.
 constexpr Millis kFreshLease{2500};
 constexpr std::int64_t kRetryAfterS = 1;
@@ -181,8 +182,13 @@
           .With("after_ms", (clock_.Now() - begin).count);
       co_return Reply{200, "{}", 0};
     }
-    if (clock_.Now() >= limit) break;
-    co_await stored_signal_.Wait(limit - clock_.Now());
+    const Millis now = clock_.Now();
+    if (now >= limit) break;
+    const bool stalled = committing_ && now - commit_started_ > kStoreStall;
+    if (stalled && scheduler_.Withdraw(id)) {
+      co_return Refused(503, "the store is not answering");
+    }
+    co_await stored_signal_.Wait(std::min(limit - now, kStallCheck));
   }
   // The lease went to another node, which knows the job if it was stored.
   if (!Leads(term)) co_return Reply{0, {}, 0, true};
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -124,6 +124,16 @@
   EXPECT_TRUE(Plan().starts.empty());
 }
 
+TEST_F(SchedulerTest, ReportAskedForInTheMillisecondOfTheAnswerDoesNotEndIt) {
+  AddWorker("w");
+  JobSpec spec;
+  spec.steps.push_back(Step(1, 1000));
+  Submit("a", spec);
+  Started(Plan());
+  Report("w", {});
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
 TEST_F(SchedulerTest, GangStartsWholeOrNotAtAll) {
   AddWorker("w", 4000);
   JobSpec spec;
