Takeovers count from the store's time of the last renewal

Cause: after all nodes lost power the next leader waited 3 s from its own start for machine orders and 10 s for unheard workers, though the last holder had ended seconds before. The beat row now carries the store's time.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -33,6 +33,9 @@
 /// Nodes with a smaller share of a core let the others go first.
 constexpr double kAmpleCpu = 0.5;
 constexpr Millis kSmallWait{150};
+/// The beat's time stands for a send that may come this much later: the time
+/// is read before the transaction is written.
+constexpr Millis kBeatSlack{100};
 constexpr Millis kLongUp = base::Seconds(20);
 /// A worker's clock may run 2% slow; orders under way take a moment.
 constexpr Millis kLeaseSlack{400};
@@ -76,6 +79,7 @@
     co_await kernel::Sleep(kRetryPause);
     co_return;
   }
+  NoteStoreTime(page->store_ms);
   const LeaseView view = ReadLease(page->rows);
   if (view.lease_version != lease_.lease_version) {
     holder_gone_ = holder_stalls_ = holder_ended_ = false;
@@ -108,7 +112,7 @@
     wait += static_cast<std::int64_t>(std::max(0.0, small) *
                                       static_cast<double>(kSmallWait.count));
     co_await kernel::Sleep({wait});
-    co_await TakeLease(view);
+    co_await TakeLease(view, page->store_ms);
     co_return;
   }
   co_await kernel::Sleep(kReadInterval);
@@ -216,14 +220,20 @@
   co_return true;
 }
 
-Awaitable<void> NodeProcess::TakeLease(const LeaseView& view) {
+Awaitable<void> NodeProcess::TakeLease(const LeaseView& view,
+                                       std::int64_t store_ms) {
   // When the last holder has given its last order, on our clock.
   const Millis seen = clock_.Now();
   const bool first = !view.lease;
   const bool ended = first || view.lease->released || holder_ended_ ||
                      view.lease->incarnation == incarnation_;
+  // The newest renewal was sent before this.
+  Millis renewed = beat_watch_.renewed_before();
+  if (const auto beat = BeatTime(view.beat); beat && store_ms > *beat) {
+    renewed = std::min(renewed, seen - Millis{store_ms - *beat} + kBeatSlack);
+  }
   const Millis stopped =
-      ended ? seen : beat_watch_.renewed_before() + kOrderLimit;
+      ended ? std::min(seen, renewed + kOrderLimit) : renewed + kOrderLimit;
   Millis machines_from = seen + settings_.machine_turn;
   if (first) {
     machines_from = seen;
@@ -242,7 +252,8 @@
       {kLeaseTable, kLeaseKey, view.lease_version});
   transaction.conditions.push_back({kLeaseTable, kBeatKey, view.beat_version});
   transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
-  transaction.writes.push_back({kLeaseTable, kBeatKey, EncodeBeat(term, 0)});
+  transaction.writes.push_back(
+      {kLeaseTable, kBeatKey, EncodeBeat(term, 0, StoreTime())});
   const Millis sent = clock_.Now();
   auto version = co_await platform_.Commit(transaction, kCommitTimeout);
   if (!version) {
@@ -258,14 +269,15 @@
   leads_ = true;
   loaded_ = false;
   term_ = term;
-  fence_ = beat_version_ = *version;
+  fence_ = beat_version_ = version->version;
+  NoteStoreTime(version->store_ms);
   beat_number_ = 0;
   renewed_ = sent;
   took_over_ = clock_.Now();
   lease_.lease = row;
-  lease_.lease_version = *version;
+  lease_.lease_version = version->version;
   const Millis lease = settings_.longest_lease + kLeaseSlack;
-  scheduler_.BeginTerm(term, std::max(stopped, took_over_) + lease);
+  scheduler_.BeginTerm(term, std::max(stopped, renewed) + lease);
   scheduler_.SetConfiguration(config_);
   fleet_.BeginTerm(machines_from);
   wave_states_.clear();
@@ -358,7 +370,7 @@
   platform::StoreTransaction transaction = ToTransaction(batch);
   transaction.conditions.push_back({kLeaseTable, kLeaseKey, fence_});
   transaction.conditions.push_back({kLeaseTable, kBeatKey, beat_version_});
-  const std::string beat = EncodeBeat(term, ++beat_number_);
+  const std::string beat = EncodeBeat(term, ++beat_number_, StoreTime());
   transaction.writes.push_back({kLeaseTable, kBeatKey, beat});
   if (release) {
     const LeaseRow row{settings_.name, settings_.peer,
@@ -374,7 +386,8 @@
     auto version = co_await platform_.Commit(transaction, kCommitTimeout);
     if (!Leads(term)) break;
     if (version) {
-      beat_version_ = *version;
+      beat_version_ = version->version;
+      NoteStoreTime(version->store_ms);
       done = true;
       break;
     }
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -1,6 +1,7 @@
 #include "node/lease.h"
 
 #include <boost/json.hpp>
+#include <charconv>
 
 namespace hemlockward::node {
 
@@ -44,8 +45,20 @@
   return row;
 }
 
-std::string EncodeBeat(std::uint64_t term, std::uint64_t number) {
-  return std::to_string(term) + "." + std::to_string(number);
+std::string EncodeBeat(std::uint64_t term, std::uint64_t number,
+                       std::int64_t store_ms) {
+  return std::to_string(term) + "." + std::to_string(number) + "@" +
+         std::to_string(store_ms);
+}
+
+std::optional<std::int64_t> BeatTime(std::string_view beat) {
+  const std::size_t at = beat.find('@');
+  if (at == std::string_view::npos) return std::nullopt;
+  std::int64_t ms = 0;
+  const char* end = beat.data() + beat.size();
+  const auto [stop, ec] = std::from_chars(beat.data() + at + 1, end, ms);
+  if (ec != std::errc() || stop != end) return std::nullopt;
+  return ms;
 }
 
 LeaseView ReadLease(std::span<const platform::StoreRow> rows) {
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -50,7 +50,12 @@
 
 std::string EncodeLease(const LeaseRow& row);
 std::optional<LeaseRow> DecodeLease(std::string_view text);
-std::string EncodeBeat(std::uint64_t term, std::uint64_t number);
+/// `store_ms` is the store's clock as the holder knows it; it tells a taker
+/// how old the newest renewal is.
+std::string EncodeBeat(std::uint64_t term, std::uint64_t number,
+                       std::int64_t store_ms);
+/// The time in a beat row; nullopt when it can't be read.
+std::optional<std::int64_t> BeatTime(std::string_view beat);
 
 /// The two rows as last read; versions are 0 while a row doesn't exist.
 struct LeaseView {
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -84,7 +84,14 @@
       std::int64_t config_version);
   void Learn(const peer::gen::LeaderCheck& check);
   std::string RandomPeer();
-  Awaitable<void> TakeLease(const LeaseView& view);
+  Awaitable<void> TakeLease(const LeaseView& view, std::int64_t store_ms);
+  /// The store's clock now, from its newest answer; 0: not known yet.
+  [[nodiscard]] std::int64_t StoreTime() const {
+    return store_ms_ == 0 ? 0 : store_ms_ + (clock_.Now() - store_at_).count;
+  }
+  void NoteStoreTime(std::int64_t ms) {
+    if (ms > 0) store_ms_ = ms, store_at_ = clock_.Now();
+  }
   Awaitable<bool> Load(std::uint64_t term);
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
   Awaitable<void> CommitLoop(std::uint64_t term);
@@ -165,6 +172,8 @@
   Millis started_{0};
   Millis stop_limit_{0};  ///< With `stopping_`: when all answers are due.
   Millis commit_started_{0};
+  std::int64_t store_ms_ = 0;  ///< The store's clock at `store_at_`.
+  Millis store_at_{0};
   kernel::Signal commit_signal_;  ///< There is something to commit.
   kernel::Signal stored_signal_;  ///< Something was committed, or lost.
 
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -31,7 +31,7 @@
   BeatWatch watch;
   Millis now{1000};
   watch.OnRead(ViewOf(5), now);
-  for (int i = 0; i < 8; ++i) {
+  while (now < Millis{1000} + kSilence) {
     EXPECT_FALSE(watch.IsSilent(now, kSilence));
     now += Millis{250};
     watch.OnRead(ViewOf(5), now);
@@ -59,6 +59,12 @@
   EXPECT_FALSE(watch.IsSilent({1600}, kStall));
 }
 
+TEST(LeaseTest, BeatsCarryTheStoresTime) {
+  EXPECT_EQ(BeatTime(EncodeBeat(3, 17, 51'230)), 51'230);
+  EXPECT_FALSE(BeatTime("3.17"));
+  EXPECT_FALSE(BeatTime("3.17@x"));
+}
+
 TEST(LeaseTest, RowsOfOtherTablesAreNoLease) {
   platform::StoreRow row;
   row.table = "other";
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -99,6 +99,7 @@
   EXPECT_EQ(page->rows[0].version, 412U);
   EXPECT_TRUE(page->rows[1].removed);
   EXPECT_EQ(page->version, 530U);
+  EXPECT_EQ(page->store_ms, 1);
   EXPECT_FALSE(DecodePage(R"({"rows":[{"key":"a","value":"***"}]})"));
 }
 
