Log lines go through a bounded buffer to standard output

Cause: each line was a write of its own to standard output and would block the event loop behind a reader that stands still. Now at most 1 MB waits; lines beyond are counted and reported.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,12 +1,18 @@
 #include "base/log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <cstdint>
+#include <cstdlib>
 #include <mutex>
 #include <stop_token>
 #include <thread>
@@ -29,6 +35,79 @@
 constexpr const char* kLinesPerFlush = "256";
 constexpr std::chrono::milliseconds kFlushInterval{200};
 
+// Lines for standard output that wait for the flusher, at most; more would mean
+// that nobody reads them.
+constexpr std::size_t kMostWaiting = 1024 * 1024;
+// Writes to a pipe up to this size (PIPE_BUF) aren't split among others'.
+constexpr std::size_t kMostAtOnce = 4096;
+
+// Holds lines until the flusher writes them, so that a reader that stands
+// still blocks the flusher only. Lines that don't fit are counted.
+class OutputBuffer {
+ public:
+  void Add(const std::string& line) {
+    const std::lock_guard lock(mutex_);
+    if (waiting_.size() + line.size() > kMostWaiting) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      waiting_ += "event=log_lines_dropped lines=" + std::to_string(dropped_);
+      waiting_ += '\n';
+      dropped_ = 0;
+    }
+    waiting_ += line;
+  }
+
+  void Flush() {
+    std::string lines;
+    {
+      const std::lock_guard lock(mutex_);
+      lines.swap(waiting_);
+    }
+    std::string_view left = lines;
+    while (!left.empty()) {
+      const std::size_t most = std::min(left.size(), kMostAtOnce);
+      const ssize_t n = ::write(STDOUT_FILENO, left.data(), most);
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0 && errno == EAGAIN) {
+        pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+        constexpr int kForever = -1;
+        static_cast<void>(::poll(&ready, 1, kForever));
+        continue;
+      }
+      if (n < 0) return;  // Nobody reads standard output any more.
+      left.remove_prefix(static_cast<std::size_t>(n));
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+};
+
+OutputBuffer& Output() {
+  static OutputBuffer buffer;
+  return buffer;
+}
+
+class OutputDispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const el::LogMessage* message = data->logMessage();
+    Output().Add(message->logger()->logBuilder()->build(message, true));
+  }
+};
+
+void WriteToOutput() {
+  constexpr const char* kDefault = "DefaultLogDispatchCallback";
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>(kDefault);
+  el::Helpers::installLogDispatchCallback<OutputDispatch>("OutputDispatch");
+  static_cast<void>(std::atexit([] { Output().Flush(); }));
+}
+
 // Flushes what the threshold leaves, so that a line is late by one interval at
 // most. Ends with the process; a killed process loses the last interval.
 void StartFlusher() {
@@ -39,6 +118,7 @@
     while (!stop.stop_requested()) {
       wake.wait_for(lock, stop, kFlushInterval, [] { return false; });
       el::Loggers::flushAll();
+      Output().Flush();
     }
   });
 }
@@ -63,8 +143,7 @@
                 "process=" + std::string(process) + " %msg";
   conf.setGlobally(el::ConfigurationType::Format, prefix);
   const bool standard_output = file == "-";
-  conf.setGlobally(el::ConfigurationType::ToStandardOutput,
-                   standard_output ? "true" : "false");
+  conf.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   conf.setGlobally(el::ConfigurationType::ToFile,
                    standard_output ? "false" : "true");
   if (!standard_output) {
@@ -73,6 +152,7 @@
   }
   conf.setGlobally(el::ConfigurationType::LogFlushThreshold, kLinesPerFlush);
   el::Loggers::reconfigureLogger("default", conf);
+  if (standard_output) WriteToOutput();
   StartFlusher();
 }
 
