Machines stay on until the first demand

Cause: idle pools were switched off in the seconds before the first jobs came, so the first turn found 8 to 12 machines where it needs 16.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -24,6 +24,8 @@
 // costs about as much as a machine for 2.4 s.
 constexpr Millis kIdleBeforeOff{1000};
 constexpr Millis kIdleBeforeLent{200};
+// How long after its start the fleet waits for the first demand at full size.
+constexpr Millis kDemandWait = base::Seconds(30);
 // An order without an answer is repeated after this; doing it twice is safe.
 constexpr Millis kRepeatOrder{1000};
 constexpr Millis kListingInterval{500};
@@ -43,8 +45,9 @@
 
 }  // namespace
 
-void Fleet::BeginTerm(Millis orders_from) {
+void Fleet::BeginTerm(Millis orders_from, Millis now) {
   orders_from_ = orders_from;
+  began_ = now;
   machines_.clear();
   begun_.clear();
   listed_at_ = {-1'000'000};
@@ -347,6 +350,8 @@
     }
   }
   if (headroom.empty()) return;
+  // Before any demand was seen nothing tells which machines aren't needed.
+  if (!scheduler.demand_seen() && now - began_ < kDemandWait) return;
   for (Pool& pool : pools) {
     for (const std::string& machine : pool.idle) {
       if (pool.have <= std::max(1, pool.need_soon)) break;
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -39,7 +39,7 @@
   explicit Fleet(FleetSettings settings) : settings_(settings) {}
 
   /// No order is given before `orders_from`: the last holder's may be recent.
-  void BeginTerm(Millis orders_from);
+  void BeginTerm(Millis orders_from, Millis now);
   void LoadWave(std::string_view key, std::string_view value);
   /// A whole listing, asked for at `sent`.
   void OnMachines(const std::vector<Machine>& machines, Scheduler& scheduler,
@@ -87,6 +87,7 @@
 
   FleetSettings settings_;
   Millis orders_from_{0};
+  Millis began_{0};
   Millis listed_at_{-1'000'000};
   std::map<std::string, State> machines_;
   std::map<int, std::set<std::string>> begun_;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -118,6 +118,7 @@
   const int count = std::max(1, job->spec.occurrences);
   job->occurrences.assign(static_cast<std::size_t>(count), occurrence);
   Job& added = *job;
+  demand_seen_ = demand_seen_ || !added.lasting;
   jobs_[added.id] = std::move(job);
   open_.insert(&added);
   return added;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -264,6 +264,8 @@
   /// Adds a row of the fleet's to the next batch.
   void WriteRow(RowWrite row) { rows_.push_back(std::move(row)); }
   [[nodiscard]] Millis unheard_by() const { return unheard_by_; }
+  /// True once a job that ends was handed in: demand has begun.
+  [[nodiscard]] bool demand_seen() const { return demand_seen_; }
   [[nodiscard]] bool HasChanges() const;
   Batch TakeBatch();
   void OnCommitted(const Batch& batch);
@@ -346,6 +348,7 @@
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;  ///< By step, then worker.
   std::map<std::string, ArrivalRate, std::less<>> arrivals_;  ///< By pool.
+  bool demand_seen_ = false;
   std::size_t run_count_ = 0;
 };
 
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -281,7 +281,7 @@
   const Millis lease = settings_.longest_lease + kLeaseSlack;
   scheduler_.BeginTerm(term, std::max(stopped, renewed) + lease);
   scheduler_.SetConfiguration(config_);
-  fleet_.BeginTerm(machines_from);
+  fleet_.BeginTerm(machines_from, took_over_);
   wave_states_.clear();
   LogLine(LogLevel::kInfo, "lease_taken")
       .With("term", term)
