--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -30,7 +30,11 @@
 constexpr Millis kStallCheck{300};
 /// Answers that say "no such job" need a renewal this recent.
 constexpr Millis kFreshLease{2500};
+/// Without a leader: a takeover takes 0.3 to 2 s.
 constexpr std::int64_t kRetryAfterS = 1;
+/// While the store is away: it has been for most of a second already, and a
+/// client that comes back in vain uses up its tries.
+constexpr std::int64_t kStoreRetryAfterS = 2;
 
 bool IsJobId(std::string_view text) {
   return text.size() == kIdLength &&
@@ -43,6 +47,12 @@
           status == 503 || status == 429 ? kRetryAfterS : 0};
 }
 
+Reply StoreAway() {
+  Reply reply = Refused(503, "the store is not answering");
+  reply.retry_after_s = kStoreRetryAfterS;
+  return reply;
+}
+
 }  // namespace
 
 Awaitable<Reply> NodeProcess::Route(Call call) {
@@ -156,7 +166,7 @@
   const Millis begin = clock_.Now();
   if (!scheduler_.FindJob(id)) {
     if (committing_ && begin - commit_started_ > kStoreStall) {
-      co_return Refused(503, "the store is not answering");
+      co_return StoreAway();
     }
     auto spec = platform::DecodeJob(call.body);
     if (!spec) {
@@ -173,7 +183,7 @@
   const Millis limit = call.deadline - kReturnTime;
   while (Leads(term)) {
     const jobs::Job* job = scheduler_.FindJob(id);
-    if (!job) co_return Refused(503, "the store is not answering");
+    if (!job) co_return StoreAway();
     if (job->stored) {
       LogLine(LogLevel::kInfo, "job_accepted")
           .With("job", id)
@@ -186,7 +196,7 @@
     if (now >= limit) break;
     const bool stalled = committing_ && now - commit_started_ > kStoreStall;
     if (stalled && scheduler_.Withdraw(id)) {
-      co_return Refused(503, "the store is not answering");
+      co_return StoreAway();
     }
     co_await stored_signal_.Wait(std::min(limit - now, kStallCheck));
   }
@@ -202,7 +212,7 @@
   const jobs::Job* job = scheduler_.FindJob(id);
   if (!job || !job->stored) {
     if (clock_.Now() - renewed_ > kFreshLease) {
-      return Refused(503, "the store is not answering");
+      return StoreAway();
     }
     return Refused(410, "no such job");
   }
@@ -218,7 +228,7 @@
   const Millis begin = clock_.Now();
   if (!scheduler_.Cancel(id, begin)) {
     if (begin - renewed_ > kFreshLease) {
-      co_return Refused(503, "the store is not answering");
+      co_return StoreAway();
     }
     co_return Refused(410, "no such job");
   }
