Commits are sent again at the store's pace

Cause: a commit whose answer was lost was awaited for 1.5 s before it was sent again; with 0.35 of the answers lost the leader stalled and was replaced time and again. Sending the same transaction again is safe by its conditions. The test of the timeout fails with a fixed 1.5 s.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -385,8 +385,17 @@
   bool done = false;
   bool unknown = false;  // An earlier send of it may still take effect.
   while (Leads(term) && !done) {
-    auto version = co_await platform_.Commit(transaction, kCommitTimeout);
+    const Millis begin = clock_.Now();
+    auto version =
+        co_await platform_.Commit(transaction, commit_timeout_.value());
     if (!Leads(term)) break;
+    const bool silent =
+        !version && version.error().failure == CallFailure::kUnknown;
+    if (silent) {
+      commit_timeout_.OnSilence();
+    } else {
+      commit_timeout_.OnAnswer(clock_.Now() - begin);
+    }
     if (version) {
       beat_version_ = version->version;
       NoteStoreTime(version->store_ms);
@@ -412,7 +421,7 @@
         co_await kernel::Sleep(kRetryPause);
         co_return true;
       }
-      co_await kernel::Sleep(kRetryPause);
+      if (!silent) co_await kernel::Sleep(kRetryPause);
       continue;
     }
     // Either an earlier send of this transaction was done, or the lease is
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -1,5 +1,6 @@
 #include "node/lease.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -94,4 +95,25 @@
   last_read_ = now;
 }
 
+namespace {
+
+constexpr Millis kShortestTimeout{150};
+constexpr Millis kLongestTimeout{1500};
+// A timeout is this multiple of the usual answer.
+constexpr double kTimeoutFactor = 6;
+// Weight of the newest answer in the usual one.
+constexpr double kNewest = 0.2;
+
+}  // namespace
+
+void CommitTimeout::OnAnswer(Millis took) {
+  usual_ms_ += kNewest * (static_cast<double>(took.count) - usual_ms_);
+  value_ = {static_cast<std::int64_t>(usual_ms_ * kTimeoutFactor)};
+  value_ = std::clamp(value_, kShortestTimeout, kLongestTimeout);
+}
+
+void CommitTimeout::OnSilence() {
+  value_ = std::min(value_ * 2, kLongestTimeout);
+}
+
 }  // namespace hemlockward::node
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -90,4 +90,18 @@
   std::optional<Millis> since_;
 };
 
+/// How long a commit's answer is awaited before the same transaction is sent
+/// again, which is safe: it follows the store's pace, so that a lost answer
+/// costs little and a slow store isn't flooded.
+class CommitTimeout {
+ public:
+  [[nodiscard]] Millis value() const { return value_; }
+  void OnAnswer(Millis took);
+  void OnSilence();
+
+ private:
+  Millis value_{1000};
+  double usual_ms_ = 150;
+};
+
 }  // namespace hemlockward::node
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -172,6 +172,7 @@
   Millis started_{0};
   Millis stop_limit_{0};  ///< With `stopping_`: when all answers are due.
   Millis commit_started_{0};
+  CommitTimeout commit_timeout_;
   std::int64_t store_ms_ = 0;  ///< The store's clock at `store_at_`.
   Millis store_at_{0};
   kernel::Signal commit_signal_;  ///< There is something to commit.
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -59,6 +59,19 @@
   EXPECT_FALSE(watch.IsSilent({1600}, kStall));
 }
 
+TEST(CommitTimeoutTest, FollowsTheStoresPaceAndBacksOff) {
+  CommitTimeout timeout;
+  for (int i = 0; i < 50; ++i) timeout.OnAnswer(Millis{8});
+  EXPECT_LE(timeout.value().count, 200);
+  timeout.OnSilence();
+  timeout.OnSilence();
+  EXPECT_GE(timeout.value().count, 600);
+  for (int i = 0; i < 20; ++i) timeout.OnSilence();
+  EXPECT_LE(timeout.value().count, 1500);
+  for (int i = 0; i < 50; ++i) timeout.OnAnswer(Millis{500});
+  EXPECT_GE(timeout.value().count, 1000);
+}
+
 TEST(LeaseTest, BeatsCarryTheStoresTime) {
   EXPECT_EQ(BeatTime(EncodeBeat(3, 17, 51'230)), 51'230);
   EXPECT_FALSE(BeatTime("3.17"));
