SIGHUP reads the settings anew; a reader of the log that goes away ends nothing

Cause: the node had no handler for SIGHUP, so the signal ended it; found by reading. The log's buffer was destroyed before its last flush (garbled last line of a stopped node).

--- a/daemons/node.cc
+++ b/daemons/node.cc
@@ -1,5 +1,10 @@
 // hemlockward-node: serves jobs on the users' platform, one on each machine.
 
+#include <csignal>
+#include <optional>
+#include <utility>
+
+#include "base/log.h"
 #include "kernel/program.h"
 #include "kernel/worker_pool.h"
 #include "node/process.h"
@@ -10,20 +15,34 @@
 
 constexpr std::string_view kProgram = "hemlockward-node";
 
-int Main(int argc, char** argv) {
+// Reads the settings; an exit code when the process is to end at once.
+std::optional<int> ReadSettings(int argc, char** argv, NodeSettings& settings) {
   base::SettingsReader reader;
   kernel::CommonSettings common;
-  NodeSettings settings;
   common.Bind(reader);
   Bind(settings, reader);
-  if (const auto code =
-          kernel::ReadProgramSettings(argc, argv, kProgram, reader)) {
-    return *code;
-  }
+  const auto code = kernel::ReadProgramSettings(argc, argv, kProgram, reader);
+  if (code) return code;
   if (!common.Apply(kProgram)) return 1;
+  return std::nullopt;
+}
+
+int Main(int argc, char** argv) {
+  NodeSettings settings;
+  if (const auto code = ReadSettings(argc, argv, settings)) return *code;
+  // A reader of the log that goes away must not end the process.
+  static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
   kernel::WorkerPool pool(1);
   NodeProcess process(pool, settings);
   kernel::OnStopSignal(pool, [&process] { process.BeginStop(); });
+  kernel::OnReloadSignal(pool, [&process, argc, argv] {
+    NodeSettings changed;
+    if (ReadSettings(argc, argv, changed)) {
+      base::LogLine(base::LogLevel::kError, "settings_not_reloaded");
+      return;
+    }
+    process.Reload(std::move(changed));
+  });
   pool.Run();
   return 0;
 }
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <stop_token>
 #include <thread>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -101,10 +102,14 @@
 };
 
 void WriteToOutput() {
+  static bool installed = false;
+  if (std::exchange(installed, true)) return;
   constexpr const char* kDefault = "DefaultLogDispatchCallback";
   el::Helpers::uninstallLogDispatchCallback<
       el::base::DefaultLogDispatchCallback>(kDefault);
   el::Helpers::installLogDispatchCallback<OutputDispatch>("OutputDispatch");
+  // The buffer must outlive the function that flushes it at the end.
+  Output();
   static_cast<void>(std::atexit([] { Output().Flush(); }));
 }
 
--- a/src/kernel/worker_pool.h
+++ b/src/kernel/worker_pool.h
@@ -43,4 +43,7 @@
 /// pool.
 void OnStopSignal(WorkerPool& pool, std::function<void()> on_first);
 
+/// Calls `reload` at each SIGHUP, which would otherwise end the process.
+void OnReloadSignal(WorkerPool& pool, std::function<void()> reload);
+
 }  // namespace hemlockward::kernel
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -23,6 +23,8 @@
 constexpr Millis kRetryPause{200};
 /// How long clients wait at most when they don't say.
 constexpr Millis kDefaultDeadline = base::Seconds(3);
+/// Of the descriptors of a machine, at least 4,100, the rest is for calls.
+constexpr int kMostConnections = 2500;
 constexpr std::int64_t kMostBody = 512 * 1024;
 /// New connections may still come until two readiness probes, one a second,
 /// have failed.
@@ -32,6 +34,7 @@
 kernel::HttpLimits FrontLimits() {
   kernel::HttpLimits limits;
   limits.max_body_bytes = kMostBody;
+  limits.max_connections = kMostConnections;
   return limits;
 }
 
@@ -241,6 +244,19 @@
   pool_.Spawn("stop", Stop());
 }
 
+void NodeProcess::Reload(NodeSettings settings) {
+  LogLine(LogLevel::kInfo, "reload")
+      .With("node", settings.name)
+      .With("store", settings.store)
+      .With("machines", settings.machines)
+      .With("advice", settings.advice);
+  settings.front = settings_.front;
+  settings.readiness = settings_.readiness;
+  settings.peer = settings_.peer;
+  settings_ = std::move(settings);
+  platform_.Use({settings_.store, settings_.machines, settings_.advice});
+}
+
 Awaitable<void> NodeProcess::Stop() {
   const Millis begin = clock_.Now();
   const Millis limit = stop_limit_;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -55,6 +55,8 @@
   ~NodeProcess();
   /// Hands the lease over, answers what is in progress, then stops the pool.
   void BeginStop();
+  /// Takes over what may change while running; addresses to listen on stay.
+  void Reload(NodeSettings settings);
 
  private:
   // Any node (process.cc).
