--- a/daemons/node.cc
+++ b/daemons/node.cc
@@ -38,7 +38,8 @@
   kernel::OnReloadSignal(pool, [&process, argc, argv] {
     NodeSettings changed;
     if (ReadSettings(argc, argv, changed)) {
-      base::LogLine(base::LogLevel::kError, "settings_not_reloaded");
+      base::LogLine(base::LogLevel::kError, "settings_not_reloaded")
+          .With("reason", "findings on standard error");
       return;
     }
     process.Reload(std::move(changed));
