--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -421,7 +421,9 @@
         co_await kernel::Sleep(kRetryPause);
         co_return true;
       }
-      if (!silent) co_await kernel::Sleep(kRetryPause);
+      // A store that answers or resets at once isn't asked at once again.
+      const Millis took = clock_.Now() - begin;
+      if (took < kRetryPause) co_await kernel::Sleep(kRetryPause - took);
       continue;
     }
     // Either an earlier send of this transaction was done, or the lease is
