--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -82,6 +82,23 @@
   return urgency;
 }
 
+// How many tasks of a step that lasts aren't at work.
+int Away(const std::map<std::string, Worker, std::less<>>& workers,
+         const Job& job, const TaskId& id) {
+  int at_work = 0;
+  for (const auto& [name, worker] : workers) {
+    for (const auto& [task, run] : worker.runs) {
+      if (run.job == &job && task.occurrence == id.occurrence &&
+          task.step == id.step && run.percent >= kFullPercent &&
+          !run.stop_wanted && !run.stopping && !worker.silent &&
+          run.phase == RunPhase::kRunning) {
+        ++at_work;
+      }
+    }
+  }
+  return job.spec.steps[id.step].task_count - at_work;
+}
+
 }  // namespace
 
 bool Scheduler::AdoptionPending(const Job& job, Millis now) const {
@@ -106,9 +123,9 @@
   return job.spec.first_due + job.spec.interval * occurrence <= wall;
 }
 
-bool Scheduler::MayHost(const Job&, const StepSpec& step,
-                        const std::string& step_name, const Task& task,
-                        const Worker& worker, bool avoid) const {
+bool Scheduler::MayHost(const StepSpec& step, const std::string& step_name,
+                        const Task& task, const Worker& worker,
+                        bool avoid) const {
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
   if (!need.Fits(Room(worker))) return false;
@@ -182,7 +199,7 @@
     Worker* best = nullptr;
     std::int64_t best_score = 0;
     for (Worker* it : pool) {
-      if (!MayHost(job, step, name, task, *it, avoid)) continue;
+      if (!MayHost(step, name, task, *it, avoid)) continue;
       if (queue.needs_tickets && !TicketFor(name, *it, orders, pool, now)) {
         continue;
       }
@@ -367,25 +384,6 @@
   }
 }
 
-// How many tasks of a step that lasts aren't at work.
-namespace {
-int Away(const std::map<std::string, Worker, std::less<>>& workers,
-         const Job& job, const TaskId& id) {
-  int at_work = 0;
-  for (const auto& [name, worker] : workers) {
-    for (const auto& [task, run] : worker.runs) {
-      if (run.job == &job && task.occurrence == id.occurrence &&
-          task.step == id.step && run.percent >= kFullPercent &&
-          !run.stop_wanted && !run.stopping && !worker.silent &&
-          run.phase == RunPhase::kRunning) {
-        ++at_work;
-      }
-    }
-  }
-  return job.spec.steps[id.step].task_count - at_work;
-}
-}  // namespace
-
 void Scheduler::Evacuate(Worker& worker) {
   for (auto& [id, run] : worker.runs) {
     const StepSpec& step = run.job->spec.steps[id.step];
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -324,9 +324,9 @@
                                 WallMillis wall) const;
   Worker* Place(const Job& job, const Queue& queue, const TaskId& id,
                 std::vector<Worker*>& pool, Orders& orders, Millis now);
-  [[nodiscard]] bool MayHost(const Job& job, const StepSpec& step,
-                             const std::string& step_name, const Task& task,
-                             const Worker& worker, bool avoid) const;
+  [[nodiscard]] bool MayHost(const StepSpec& step, const std::string& step_name,
+                             const Task& task, const Worker& worker,
+                             bool avoid) const;
   [[nodiscard]] bool AdoptionPending(const Job& job, Millis now) const;
   const std::string* TicketFor(const std::string& step_name,
                                const Worker& worker, Orders& orders,
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -129,8 +129,8 @@
     holder_gone_ = holder_gone_ || refused;
     co_return false;
   }
-  holder_ended_ = heard_incarnation_ != holder.incarnation;
-  if (heard_incarnation_ != holder.incarnation || !heard_leads_) {
+  holder_ended_ = heard_.incarnation != holder.incarnation;
+  if (heard_.incarnation != holder.incarnation || !heard_.leads) {
     // A newer leader may have been named in the answer.
     const bool same =
         lease_.lease && lease_.lease->incarnation == holder.incarnation;
@@ -138,8 +138,8 @@
     co_return false;
   }
   holder_gone_ = false;
-  holder_stalls_ = heard_renewal_age_ms_ >= kRenewalLate.count;
-  if (!holder_stalls_) beat_watch_.OnHeard(heard_beat_, clock_.Now());
+  holder_stalls_ = heard_.renewal_age_ms >= kRenewalLate.count;
+  if (!holder_stalls_) beat_watch_.OnHeard(heard_.beat_version, clock_.Now());
   co_return !holder_stalls_;
 }
 
@@ -205,7 +205,7 @@
 
 Awaitable<bool> NodeProcess::AskPeer(std::string address, bool* refused) {
   peer::gen::Message message;
-  message.__set_leader_check(Introduction(heard_config_));
+  message.__set_leader_check(Introduction(heard_.config_version));
   auto answer = co_await peers_.Call(address, message, kCheckTimeout);
   if (!answer) {
     *refused = answer.error().refused;
@@ -214,11 +214,11 @@
   if (!answer->__isset.leader_check) co_return false;
   const peer::gen::LeaderCheck& reply = answer->leader_check;
   Learn(reply);
-  heard_incarnation_ = static_cast<std::uint64_t>(reply.incarnation);
-  heard_leads_ = reply.leads;
-  heard_beat_ = static_cast<std::uint64_t>(reply.beat_version);
-  heard_renewal_age_ms_ = reply.renewal_age_ms;
-  heard_config_ = reply.config_version;
+  heard_.incarnation = static_cast<std::uint64_t>(reply.incarnation);
+  heard_.leads = reply.leads;
+  heard_.beat_version = static_cast<std::uint64_t>(reply.beat_version);
+  heard_.renewal_age_ms = reply.renewal_age_ms;
+  heard_.config_version = reply.config_version;
   co_return true;
 }
 
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -48,6 +48,15 @@
   bool may_have_run = false;  ///< With status 0: it may still take effect.
 };
 
+/// What a peer last said of itself.
+struct Heard {
+  std::uint64_t incarnation = 0;
+  bool leads = false;
+  std::int64_t renewal_age_ms = 0;
+  std::uint64_t beat_version = 0;
+  std::int64_t config_version = 0;
+};
+
 class NodeProcess {
  public:
   /// Starts at once; runs on one thread. Throws when an address is in use.
@@ -154,12 +163,7 @@
   bool holder_ended_ = false;   ///< Another process answers at its address.
   bool holder_stalls_ = false;  ///< It says that it can't renew.
   std::map<std::string, Millis> peers_heard_;
-  /// What a peer last said of itself, for the exchange that follows.
-  std::uint64_t heard_incarnation_ = 0;
-  std::int64_t heard_renewal_age_ms_ = 0;
-  bool heard_leads_ = false;
-  std::uint64_t heard_beat_ = 0;
-  std::int64_t heard_config_ = 0;
+  Heard heard_;
   bool leads_ = false;
   bool loaded_ = false;
   bool stopping_ = false;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -21,9 +21,8 @@
   base::Millis longest_lease{6000};  ///< What workers accept.
   base::Millis grace{6000};          ///< From the stop signal to the kill.
   base::Millis machine_turn{3000};  ///< Least time between two holders' orders.
-  base::Millis ticket_valid{0};
-  double cpu_share = 0.25;  ///< Share of a core that this node has.
-  double link_mbps = 1000;  ///< Of this node's own link.
+  double cpu_share = 0.25;          ///< Share of a core that this node has.
+  double link_mbps = 1000;          ///< Of this node's own link.
   double move_s = 1.5;
   double upkeep_s = 2;
   double machine_orders_per_s = 64;
--- /dev/null
+++ b/tests/jobs_fleet_test.cc
@@ -0,0 +1,191 @@
+// Machines between pools and upkeep waves.
+
+#include <gtest/gtest.h>
+
+#include "base/log.h"
+#include "jobs/fleet.h"
+
+namespace hemlockward::jobs {
+namespace {
+
+constexpr WallMillis kWall{1'700'000'000'000};
+
+class FleetTest : public ::testing::Test {
+ protected:
+  FleetTest() {
+    base::ConfigureLog(base::LogLevel::kError, base::LogFormat::kKeyValue, "",
+                       "test");
+    config_.version = 1;
+    for (const char* name : {"busy", "calm"}) {
+      Queue queue;
+      queue.name = name;
+      queue.service = name;
+      queue.stretch = 2;
+      config_.queues.push_back(queue);
+      config_.services[name] = {name, true, false};
+    }
+    config_.services["off"] = {"off", true, true};
+    scheduler_.BeginTerm(0, {0});
+    scheduler_.SetConfiguration(config_);
+    fleet_.BeginTerm(now_, now_);
+  }
+
+  void AddMachine(const std::string& name, const std::string& pool) {
+    Machine machine{name, pool, MachineState::kUp, "", {8000, 64'000, 0}};
+    if (pool != "off") {
+      machine.worker = "w-" + name;
+      WorkerEntry entry;
+      entry.id = machine.worker;
+      entry.address = "10.0.0.1:80";
+      entry.service = pool;
+      entry.capacity = machine.capacity;
+      entry.born = 1;
+      scheduler_.UpsertWorker(entry, now_);
+      WorkerReport report;
+      report.clock_ms = 1;
+      report.born = 1;
+      scheduler_.OnReport(entry.id, report, now_, now_);
+      Commit();
+    }
+    machines_.push_back(machine);
+  }
+
+  void Commit() { scheduler_.OnCommitted(scheduler_.TakeBatch()); }
+
+  void Submit(const std::string& queue, int tasks) {
+    JobSpec spec;
+    StepSpec step;
+    step.task_count = tasks;
+    step.need = {4000, 100, 0};
+    step.estimate = {1000};
+    spec.steps.push_back(step);
+    for (const Queue& it : config_.queues) {
+      if (it.name != queue) continue;
+      scheduler_.Submit(it, "job" + std::to_string(next_++), spec, "source",
+                        now_, kWall);
+    }
+    Commit();
+  }
+
+  void List() { fleet_.OnMachines(machines_, scheduler_, now_); }
+
+  std::vector<MachineOrder> Plan(Millis by) {
+    now_ += by;
+    return fleet_.Plan(waves_, scheduler_, now_);
+  }
+
+  void Answer(const std::vector<MachineOrder>& orders, MachineAnswer answer) {
+    for (const MachineOrder& it : orders) {
+      fleet_.OnAnswer(it, answer, scheduler_, now_);
+    }
+  }
+
+  Configuration config_;
+  Scheduler scheduler_{SchedulerSettings{}};
+  Fleet fleet_{FleetSettings{}};
+  std::vector<Machine> machines_;
+  std::map<int, WaveOrder> waves_;
+  Millis now_{10'000};
+  int next_ = 0;
+};
+
+TEST_F(FleetTest, MachinesThatAreOffGoWhereWorkArrives) {
+  AddMachine("m1", "busy");
+  AddMachine("m2", "off");
+  AddMachine("m3", "off");
+  AddMachine("m4", "off");
+  List();
+  Submit("busy", 8);
+  const auto orders = Plan({1000});
+  EXPECT_EQ(orders.size(), 3U);
+  for (const MachineOrder& it : orders) EXPECT_EQ(it.pool, "busy");
+}
+
+TEST_F(FleetTest, IdlePoolsLend) {
+  AddMachine("m1", "busy");
+  AddMachine("m2", "calm");
+  AddMachine("m3", "calm");
+  List();
+  now_ += Millis{500};
+  Submit("busy", 6);
+  const auto orders = Plan({10});
+  ASSERT_FALSE(orders.empty());
+  EXPECT_EQ(orders[0].pool, "busy");
+  EXPECT_TRUE(scheduler_.FindWorker(orders[0].worker)->reserved);
+}
+
+TEST_F(FleetTest, NothingIsSwitchedOffBeforeTheFirstDemand) {
+  for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "calm");
+  List();
+  EXPECT_TRUE(Plan({5000}).empty());
+  Submit("busy", 1);
+  std::size_t off = 0;
+  for (const MachineOrder& it : Plan({5000})) off += it.pool == "off" ? 1 : 0;
+  EXPECT_EQ(off, 1U);  // One lends to `busy`, one stays.
+}
+
+TEST_F(FleetTest, NoOrderBeforeTheLastHoldersMayHaveEnded) {
+  AddMachine("m1", "busy");
+  AddMachine("m2", "off");
+  fleet_.BeginTerm(now_ + Millis{3000}, now_);
+  List();
+  Submit("busy", 8);
+  EXPECT_TRUE(Plan({2900}).empty());
+  EXPECT_FALSE(Plan({200}).empty());
+}
+
+TEST_F(FleetTest, WaveKeepsItsCapAndTakesMachinesThatAreOffFirst) {
+  AddMachine("m1", "calm");
+  AddMachine("m2", "off");
+  AddMachine("m3", "off");
+  AddMachine("m4", "calm");
+  List();
+  waves_[1] = {1, {"m1", "m2", "m3", "m4"}, Millis{20'000}, 2};
+  const auto orders = Plan({1000});
+  ASSERT_EQ(orders.size(), 2U);
+  EXPECT_TRUE(orders[0].worker.empty());
+  EXPECT_TRUE(orders[1].worker.empty());
+  // Unanswered orders may have been carried out: they count as down.
+  Answer(orders, MachineAnswer::kUnknown);
+  EXPECT_TRUE(Plan({500}).empty());
+  const auto again = Plan({1000});
+  ASSERT_EQ(again.size(), 2U);
+  EXPECT_EQ(again[0].machine, orders[0].machine);
+  Answer(again, MachineAnswer::kDone);
+  EXPECT_TRUE(Plan({100}).empty());
+  EXPECT_FALSE(fleet_.IsComplete(waves_[1]));
+  // Back up in a listing after the upkeep's length: the next two.
+  now_ += Millis{3000};
+  List();
+  const auto next = Plan({10});
+  ASSERT_EQ(next.size(), 2U);
+  Answer(next, MachineAnswer::kDone);
+  EXPECT_TRUE(fleet_.IsComplete(waves_[1]));
+}
+
+TEST_F(FleetTest, BusyMachinesAreEmptiedBeforeTheirUpkeep) {
+  AddMachine("m1", "busy");
+  List();
+  Submit("busy", 1);
+  const Orders started = scheduler_.Plan(now_, kWall, true);
+  ASSERT_EQ(started.starts.size(), 1U);
+  waves_[1] = {1, {"m1"}, Millis{20'000}, 1};
+  EXPECT_TRUE(Plan({1000}).empty());
+  EXPECT_TRUE(scheduler_.FindWorker("w-m1")->reserved);
+  Submit("busy", 1);
+  EXPECT_TRUE(scheduler_.Plan(now_, kWall, true).starts.empty());
+}
+
+TEST_F(FleetTest, NextLeaderKnowsWhichMachinesHaveBegun) {
+  AddMachine("m1", "off");
+  AddMachine("m2", "off");
+  List();
+  fleet_.LoadWave("1", R"(["m1"])");
+  waves_[1] = {1, {"m1", "m2"}, Millis{20'000}, 2};
+  const auto orders = Plan({1000});
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].machine, "m2");
+}
+
+}  // namespace
+}  // namespace hemlockward::jobs
