One copy of step names, read timeout and demand; names of the platform's rows in platform/

StepName stood in two files, kReadTimeout in three, table names of the platform in src/node; Worker::machine and two time parameters were read by nobody; each pool walked all jobs for its demand. Ruled out: a change of behaviour: orders and rows are the same, tests pass unchanged but for the dropped parameters.

No functional change

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -84,8 +84,7 @@
   return now - listed_at_ >= (active ? kListingInterval : kListingIntervalIdle);
 }
 
-void Fleet::OnMachines(const std::vector<Machine>& machines,
-                       Scheduler& scheduler, Millis sent) {
+void Fleet::OnMachines(const std::vector<Machine>& machines, Millis sent) {
   std::set<std::string> names;
   for (const Machine& it : machines) {
     names.insert(it.name);
@@ -98,9 +97,6 @@
     if (state.upkeep_of > 0 && back && sent - state.ordered_at >= upkeep) {
       state.upkeep_of = 0;
     }
-    if (Worker* worker = scheduler.FindWorker(it.worker)) {
-      worker->machine = it.name;
-    }
   }
   std::erase_if(machines_, [&](const auto& it) {
     return !names.contains(it.first) && !it.second.ordered;
@@ -256,6 +252,7 @@
     }
   }
   std::vector<Pool> list;
+  const auto demands = scheduler.Demand(now);
   for (auto& [name, pool] : pools) {
     if (pool.machine_cpu == 0) {
       for (const auto& [id, state] : machines_) {
@@ -265,7 +262,9 @@
             std::max(pool.machine_memory, state.machine.capacity.memory_mb);
       }
     }
-    const PoolDemand demand = scheduler.Demand(name, now);
+    const auto found = demands.find(name);
+    const PoolDemand demand =
+        found == demands.end() ? PoolDemand{} : found->second;
     const auto machine =
         static_cast<double>(std::max<std::int64_t>(1, pool.machine_cpu));
     const auto now_cpu =
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -42,8 +42,7 @@
   void BeginTerm(Millis orders_from, Millis now);
   void LoadWave(std::string_view key, std::string_view value);
   /// A whole listing, asked for at `sent`.
-  void OnMachines(const std::vector<Machine>& machines, Scheduler& scheduler,
-                  Millis sent);
+  void OnMachines(const std::vector<Machine>& machines, Millis sent);
   std::vector<MachineOrder> Plan(const std::map<int, WaveOrder>& waves,
                                  Scheduler& scheduler, Millis now);
   void OnAnswer(const MachineOrder& order, MachineAnswer answer,
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -34,8 +34,11 @@
 }
 
 std::string TaskId::ToText() const {
-  return job + "." + std::to_string(occurrence) + "." + std::to_string(step) +
-         "." + std::to_string(index);
+  return StepName() + "." + std::to_string(index);
+}
+
+std::string TaskId::StepName() const {
+  return job + "." + std::to_string(occurrence) + "." + std::to_string(step);
 }
 
 std::optional<TaskId> TaskId::Parse(std::string_view text) {
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -122,6 +122,8 @@
   int index = 0;
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
   [[nodiscard]] std::string ToText() const;
+  /// The step it belongs to, without the index: JOB.OCCURRENCE.STEP.
+  [[nodiscard]] std::string StepName() const;
   static std::optional<TaskId> Parse(std::string_view text);
 };
 
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -26,10 +26,6 @@
 constexpr double kTailHigh = 0.85;
 constexpr double kTailLow = 0.5;
 
-std::string StepName(const Job& job, int occurrence, int step) {
-  return job.id + "." + std::to_string(occurrence) + "." + std::to_string(step);
-}
-
 bool HasLabel(const Worker& worker, std::string_view label) {
   const auto& labels = worker.entry.labels;
   return std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -193,7 +189,7 @@
   const StepSpec& step = job.spec.steps[id.step];
   const Task& task =
       job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
-  const std::string name = StepName(job, id.occurrence, id.step);
+  const std::string name = id.StepName();
   for (const bool avoid : {true, false}) {
     if (!avoid && task.avoid.empty()) break;
     Worker* best = nullptr;
@@ -233,8 +229,7 @@
   order.checkpoint =
       job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
   if (queue.needs_tickets) {
-    const std::string name = StepName(job, id.occurrence, id.step);
-    order.ticket = *TicketFor(name, *worker, orders, pool, now);
+    order.ticket = *TicketFor(id.StepName(), *worker, orders, pool, now);
   }
   AddRun(*worker, job, id, number, RunPhase::kSent, now);
   NoteLease(*worker, now);
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -30,11 +30,6 @@
 // Slack for the time between stamping an order and its arrival.
 constexpr Millis kLeaseMargin{150};
 
-std::string StepName(const TaskId& task) {
-  return task.job + "." + std::to_string(task.occurrence) + "." +
-         std::to_string(task.step);
-}
-
 Task& TaskOf(Job& job, const TaskId& id) {
   return job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
 }
@@ -95,7 +90,7 @@
   if (step.fills) run.need.cpu_milli = 0;
   run.sent = run.settled_from = run.progress_at = now;
   worker.used += run.need;
-  ++worker.per_step[StepName(id)];
+  ++worker.per_step[id.StepName()];
   worker.runs[id] = run;
   ++run_count_;
   ++job.live;
@@ -110,7 +105,7 @@
                        Millis now) {
   Run& run = it->second;
   worker.used -= run.need;
-  const auto count = worker.per_step.find(StepName(run.task));
+  const auto count = worker.per_step.find(run.task.StepName());
   if (count != worker.per_step.end() && --count->second <= 0) {
     worker.per_step.erase(count);
   }
@@ -128,7 +123,7 @@
   while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
 }
 
-void Scheduler::OnStart(const StartOrder& order, StartAnswer answer, Millis,
+void Scheduler::OnStart(const StartOrder& order, StartAnswer answer,
                         Millis now) {
   Worker* worker = FindWorker(order.worker);
   if (!worker) return;
@@ -154,7 +149,7 @@
       worker->refused_until = now + kNoRoomPause;
       break;
     case StartAnswer::kNoTicket:
-      tickets_.erase(StepName(order.task));
+      tickets_.erase(order.task.StepName());
       break;
     case StartAnswer::kStale:
       break;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -237,7 +237,7 @@
   }
 }
 
-void Scheduler::RemoveWorker(std::string_view id, Millis) {
+void Scheduler::RemoveWorker(std::string_view id) {
   Worker* worker = FindWorker(id);
   if (worker) worker->listed = false;
 }
@@ -429,15 +429,15 @@
   }
 }
 
-PoolDemand Scheduler::Demand(std::string_view service, Millis now) const {
-  PoolDemand demand;
-  const auto arrivals = arrivals_.find(service);
-  if (arrivals != arrivals_.end()) {
-    demand.arriving_cpu =
-        static_cast<std::int64_t>(arrivals->second.Cores(now) * 1000);
+std::map<std::string, PoolDemand, std::less<>> Scheduler::Demand(
+    Millis now) const {
+  std::map<std::string, PoolDemand, std::less<>> demands;
+  for (const auto& [pool, rate] : arrivals_) {
+    demands[pool].arriving_cpu =
+        static_cast<std::int64_t>(rate.Cores(now) * 1000);
   }
   for (const Job* job : open_) {
-    if (PoolOf(*job) != service) continue;
+    PoolDemand& demand = demands[PoolOf(*job)];
     for (const Occurrence& occurrence : job->occurrences) {
       std::int64_t later = 0;
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
@@ -471,7 +471,7 @@
       demand.later_cpu += later;
     }
   }
-  return demand;
+  return demands;
 }
 
 bool Scheduler::IsIdle(const Worker& worker) const {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -104,7 +104,6 @@
 
 struct Worker {
   WorkerEntry entry;
-  std::string machine;
   std::map<TaskId, Run> runs;
   Resources used;
   bool listed = true;    ///< Its entry stands in the store.
@@ -229,7 +228,7 @@
   void LoadWorker(std::string_view id, std::string_view value, Millis now);
 
   void UpsertWorker(const WorkerEntry& entry, Millis now);
-  void RemoveWorker(std::string_view id, Millis now);
+  void RemoveWorker(std::string_view id);
   /// The worker's machine was moved or taken down: nothing runs there.
   void EndWorker(std::string_view id, Millis now);
 
@@ -247,8 +246,7 @@
 
   /// What to send now. With `may_start` false only stops are given.
   Orders Plan(Millis now, WallMillis wall, bool may_start);
-  void OnStart(const StartOrder& order, StartAnswer answer, Millis sent,
-               Millis now);
+  void OnStart(const StartOrder& order, StartAnswer answer, Millis now);
   void OnStop(const StopOrder& order, bool answered, Millis now);
   void OnAdvice(std::string_view step, std::span<const std::string> asked,
                 std::span<const std::pair<std::string, std::string>> tickets,
@@ -277,7 +275,9 @@
     return workers_;
   }
   [[nodiscard]] const Configuration& configuration() const { return config_; }
-  [[nodiscard]] PoolDemand Demand(std::string_view service, Millis now) const;
+  /// What each pool with work still has to do.
+  [[nodiscard]] std::map<std::string, PoolDemand, std::less<>> Demand(
+      Millis now) const;
   /// True when nothing runs on the worker, or ends there of itself soon.
   [[nodiscard]] bool IsIdle(const Worker& worker) const;
   /// Stops what may be stopped on workers that are being emptied.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-constexpr const char* kWorkersTable = "servers";
-constexpr const char* kStatusTable = "status";
-constexpr Millis kReadTimeout{1500};
 constexpr Millis kFeedWait = base::Seconds(5);
 constexpr Millis kRetryPause{150};
 /// A start or stop that isn't answered by then counts as unanswered.
@@ -40,7 +37,8 @@
   std::set<std::string> seen;
   std::string from;
   while (Leads(term)) {
-    auto page = co_await platform_.Read(kWorkersTable, "", from, kReadTimeout);
+    auto page = co_await platform_.Read(platform::kWorkerEntryTable, "", from,
+                                        kReadTimeout);
     if (!page) co_return false;
     for (const platform::StoreRow& it : page->rows) {
       seen.insert(it.key);
@@ -56,7 +54,7 @@
     if (!seen.contains(id)) gone.push_back(id);
   }
   for (const std::string& id : gone) {
-    scheduler_.RemoveWorker(id, clock_.Now());
+    scheduler_.RemoveWorker(id);
   }
   WatchWorkers(term);
   co_return true;
@@ -65,7 +63,7 @@
 void NodeProcess::ApplyWorkerRow(const platform::StoreRow& row) {
   const Millis now = clock_.Now();
   if (row.removed) {
-    scheduler_.RemoveWorker(row.key, now);
+    scheduler_.RemoveWorker(row.key);
     return;
   }
   auto entry = platform::DecodeWorker(row.key, row.value);
@@ -73,7 +71,7 @@
     LogLine(LogLevel::kDebug, "worker_entry_unreadable")
         .With("key", row.key)
         .With("error", entry.error().what);
-    scheduler_.RemoveWorker(row.key, now);
+    scheduler_.RemoveWorker(row.key);
     return;
   }
   scheduler_.UpsertWorker(*entry, now);
@@ -99,8 +97,8 @@
       Kick();
       continue;
     }
-    auto page =
-        co_await platform_.Changes(kWorkersTable, workers_version_, kFeedWait);
+    auto page = co_await platform_.Changes(platform::kWorkerEntryTable,
+                                           workers_version_, kFeedWait);
     if (!Leads(term)) co_return;
     if (!page) {
       LogLine(LogLevel::kWarning, "worker_feed_lost")
@@ -239,7 +237,7 @@
   const jobs::Job* job = scheduler_.FindJob(order.task.job);
   const Millis sent = clock_.Now();
   if (!worker || !job || !MayOrder()) {
-    scheduler_.OnStart(order, jobs::StartAnswer::kRefused, sent, sent);
+    scheduler_.OnStart(order, jobs::StartAnswer::kRefused, sent);
     co_return;
   }
   const jobs::WorkerEntry entry = worker->entry;
@@ -266,7 +264,7 @@
     StepDown("a worker obeys a newer leader");
     co_return;
   }
-  scheduler_.OnStart(order, answer, sent, now);
+  scheduler_.OnStart(order, answer, now);
   if (answer != jobs::StartAnswer::kStarted) Kick();
 }
 
@@ -338,7 +336,7 @@
         LogLine(LogLevel::kWarning, "machines_not_listed")
             .With("error", machines.error().what);
       } else {
-        fleet_.OnMachines(*machines, scheduler_, sent);
+        fleet_.OnMachines(*machines, sent);
       }
     }
     if (!MayOrderMachines()) continue;
@@ -385,9 +383,10 @@
     if (it != wave_states_.end() && it->second == complete) continue;
     if (it != wave_states_.end() && it->second) continue;
     platform::StoreTransaction transaction;
-    transaction.writes.push_back({kStatusTable,
-                                  "wave/" + std::to_string(number),
-                                  platform::EncodeWaveState(complete)});
+    const std::string key =
+        std::string(platform::kWavePrefix) + std::to_string(number);
+    transaction.writes.push_back(
+        {platform::kStatusTable, key, platform::EncodeWaveState(complete)});
     auto done = co_await platform_.Commit(transaction, kReadTimeout);
     if (!done || !Leads(term)) co_return;
     wave_states_[number] = complete;
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr Millis kReadTimeout{1500};
 constexpr Millis kCommitTimeout{1500};
 /// Commits are gathered for this long: each is a priced call, and jobs take
 /// seconds.
@@ -175,7 +174,7 @@
     return now - it.second >= kPeerForgotten;
   });
   if (!check.config.empty()) {
-    ApplyOperatorRow({"", "", std::string(kConfigKey), check.config});
+    ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config});
   }
   const auto lease = DecodeLease(check.lease);
   if (!lease) return;
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -16,7 +16,6 @@
 
 using base::Millis;
 
-inline constexpr std::string_view kConfigKey = "config";
 inline constexpr const char* kPart = "main";
 inline constexpr const char* kLeaseTable = "lead";
 inline constexpr const char* kLeaseKey = "lease";
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -15,10 +15,6 @@
 
 namespace {
 
-constexpr const char* kOperatorTable = "op";
-constexpr std::string_view kWavePrefix = "wave/";
-/// One read of the store; it answers in 4 ms, slowed sixtyfold in 240 ms.
-constexpr Millis kReadTimeout{1500};
 constexpr Millis kFeedWait = base::Seconds(10);
 constexpr Millis kRetryPause{200};
 /// How long clients wait at most when they don't say.
@@ -157,7 +153,8 @@
 Awaitable<bool> NodeProcess::ReadOperator() {
   std::string from;
   while (true) {
-    auto page = co_await platform_.Read(kOperatorTable, "", from, kReadTimeout);
+    auto page = co_await platform_.Read(platform::kOperatorTable, "", from,
+                                        kReadTimeout);
     if (!page) co_return false;
     for (const platform::StoreRow& it : page->rows) ApplyOperatorRow(it);
     operator_version_ = std::max(operator_version_, page->version);
@@ -168,7 +165,7 @@
 
 void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row) {
   const std::string_view key = row.key;
-  if (key == kConfigKey) {
+  if (key == platform::kConfigKey) {
     auto config = platform::DecodeConfiguration(row.value);
     if (!config) {
       LogLine(LogLevel::kError, "configuration_unreadable")
@@ -188,7 +185,7 @@
     Kick();
     return;
   }
-  if (!key.starts_with(kWavePrefix) || row.removed) return;
+  if (!key.starts_with(platform::kWavePrefix) || row.removed) return;
   auto wave = platform::DecodeWave(row.value);
   if (!wave) {
     LogLine(LogLevel::kError, "wave_unreadable")
@@ -215,8 +212,8 @@
       if (!read) co_await kernel::Sleep(kRetryPause);
       continue;
     }
-    auto page = co_await platform_.Changes(kOperatorTable, operator_version_,
-                                           kFeedWait);
+    auto page = co_await platform_.Changes(platform::kOperatorTable,
+                                           operator_version_, kFeedWait);
     if (!page) {
       const bool lost =
           page.error().failure == platform::CallFailure::kHistoryLost;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -32,6 +32,9 @@
 template <class T>
 using Awaitable = boost::asio::awaitable<T>;
 
+/// One read of the store; it answers in 4 ms, slowed sixtyfold in 240 ms.
+inline constexpr Millis kReadTimeout{1500};
+
 /// A client's call on jobs, wherever it arrived.
 struct Call {
   std::string method;
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -67,7 +67,7 @@
     Commit();
   }
 
-  void List() { fleet_.OnMachines(machines_, scheduler_, now_); }
+  void List() { fleet_.OnMachines(machines_, now_); }
 
   std::vector<MachineOrder> Plan(Millis by) {
     now_ += by;
@@ -197,7 +197,7 @@
   const auto orders = Plan({1000});
   ASSERT_EQ(orders.size(), 1U);
   Answer(orders, MachineAnswer::kDone);
-  fleet_.OnMachines(machines_, scheduler_, asked);
+  fleet_.OnMachines(machines_, asked);
   EXPECT_TRUE(Plan({10}).empty());
 }
 
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -76,7 +76,7 @@
 
   void Started(const Orders& orders) {
     for (const StartOrder& it : orders.starts) {
-      scheduler_.OnStart(it, StartAnswer::kStarted, now_, now_);
+      scheduler_.OnStart(it, StartAnswer::kStarted, now_);
     }
   }
 
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -282,7 +282,7 @@
     const Millis sent = now_;
     const std::uint64_t fence = fence_;
     const auto answer = [this, order, sent, term](StartAnswer it) {
-      if (term == term_) scheduler_->OnStart(order, it, sent, now_);
+      if (term == term_) scheduler_->OnStart(order, it, now_);
     };
     const auto no_answer = [this, answer] {
       At(now_ + Millis{1000}, [answer] { answer(StartAnswer::kUnknown); });
