Demand counted in jobs, with a forecast of a clear rise; idle time counts from the first demand

And the arrivals' average (500 ms) trails a turn's ramp of about 3 s by half a second, while a move takes 1.5 s. Load answered: a queue whose demand climbs within seconds to five times its mean. ArrivalRate and PoolDemand have a file of their own.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -22,7 +22,7 @@
 constexpr double kLaterShare = 0.5;
 // How long a machine is idle before it is switched off; a move back and forth
 // costs about as much as a machine for 2.4 s.
-constexpr Millis kIdleBeforeOff{1000};
+constexpr Millis kIdleBeforeOff{2400};
 constexpr Millis kIdleBeforeLent{200};
 // How long after its start the fleet waits for the first demand at full size.
 constexpr Millis kDemandWait = base::Seconds(30);
@@ -350,13 +350,15 @@
   }
   if (headroom.empty()) return;
   // Before any demand was seen nothing tells which machines aren't needed.
-  if (!scheduler.demand_seen() && now - began_ < kDemandWait) return;
+  const Millis demand_since =
+      scheduler.demand_since().value_or(began_ + kDemandWait);
   for (Pool& pool : pools) {
     for (const std::string& machine : pool.idle) {
       if (pool.have <= std::max(1, pool.need_soon)) break;
       if (tokens_ < 1) return;
       if (machines_.at(machine).ordered) continue;
-      if (idle_for(machine) < kIdleBeforeOff) continue;
+      const Millis useless = std::min(idle_for(machine), now - demand_since);
+      if (useless < kIdleBeforeOff) continue;
       move(machine, headroom);
       --pool.have;
     }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -1,7 +1,6 @@
 #include "jobs/scheduler.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "base/log.h"
 #include "jobs/rows.h"
@@ -23,8 +22,8 @@
 constexpr Millis kStuck{500};
 constexpr Millis kExpiryInterval = base::Seconds(1);
 
-// Short enough to see the start of a turn, long enough to hold several jobs.
-constexpr double kRateWindowMs = 500;
+// A pool asks for machines this long before they serve: a move takes 1.5 s.
+constexpr Millis kMoveAhead{1600};
 
 Millis LongestChain(const JobSpec& spec) {
   std::vector<Millis> ends;
@@ -40,16 +39,6 @@
 
 }  // namespace
 
-void ArrivalRate::Add(double core_ms, Millis now) {
-  value_ = Cores(now) + core_ms / kRateWindowMs;
-  at_ = now;
-}
-
-double ArrivalRate::Cores(Millis now) const {
-  const auto age = static_cast<double>((now - at_).count);
-  return value_ * std::exp(-age / kRateWindowMs);
-}
-
 std::string_view ToText(JobState state) {
   switch (state) {
     case JobState::kPending:
@@ -118,7 +107,7 @@
   const int count = std::max(1, job->spec.occurrences);
   job->occurrences.assign(static_cast<std::size_t>(count), occurrence);
   Job& added = *job;
-  demand_seen_ = demand_seen_ || !added.lasting;
+  if (!demand_since_ && !added.lasting) demand_since_ = now;
   jobs_[added.id] = std::move(job);
   open_.insert(&added);
   return added;
@@ -141,7 +130,7 @@
     work += static_cast<double>(it.need.cpu_milli * it.task_count) / 1000 *
             static_cast<double>(it.estimate.count);
   }
-  if (job.spec.occurrences == 0) arrivals_[queue.service].Add(work, now);
+  if (job.spec.occurrences == 0) arrivals_[queue.name].Add(work, now);
   return Submission::kQueued;
 }
 
@@ -432,9 +421,11 @@
 std::map<std::string, PoolDemand, std::less<>> Scheduler::Demand(
     Millis now) const {
   std::map<std::string, PoolDemand, std::less<>> demands;
-  for (const auto& [pool, rate] : arrivals_) {
-    demands[pool].arriving_cpu =
-        static_cast<std::int64_t>(rate.Cores(now) * 1000);
+  for (const auto& [name, rate] : arrivals_) {
+    const auto queue = queues_.find(name);
+    if (queue == queues_.end()) continue;
+    demands[queue->second.service].arriving_cpu +=
+        static_cast<std::int64_t>(rate.Cores(now, kMoveAhead) * 1000);
   }
   for (const Job* job : open_) {
     PoolDemand& demand = demands[PoolOf(*job)];
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -11,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/demand.h"
 #include "jobs/model.h"
 
 /// Which task runs where. Pure: every function takes the time, none does I/O.
@@ -186,29 +188,6 @@
 
 enum class Submission : std::uint8_t { kQueued, kKnown, kRefused };
 
-/// How much work arrives, as an exponentially weighted rate.
-class ArrivalRate {
- public:
-  void Add(double core_ms, Millis now);
-  /// Cores that the arriving work keeps busy.
-  [[nodiscard]] double Cores(Millis now) const;
-
- private:
-  double value_ = 0;
-  Millis at_{0};
-};
-
-/// Work that a pool still has to do.
-struct PoolDemand {
-  std::int64_t ready_cpu = 0;     ///< Of tasks that could start now.
-  std::int64_t running_cpu = 0;   ///< Of runs at work.
-  std::int64_t later_cpu = 0;     ///< Of the widest step still to come, by job.
-  std::int64_t memory_mb = 0;     ///< Of tasks at work or able to start.
-  std::int64_t arriving_cpu = 0;  ///< What the work that arrives will need.
-  int spread = 0;      ///< Machines that limits of tasks per worker ask for.
-  bool stuck = false;  ///< A lasting task has waited for a place for long.
-};
-
 class Scheduler {
  public:
   explicit Scheduler(SchedulerSettings settings) : settings_(settings) {}
@@ -262,8 +241,10 @@
   /// Adds a row of the fleet's to the next batch.
   void WriteRow(RowWrite row) { rows_.push_back(std::move(row)); }
   [[nodiscard]] Millis unheard_by() const { return unheard_by_; }
-  /// True once a job that ends was handed in: demand has begun.
-  [[nodiscard]] bool demand_seen() const { return demand_seen_; }
+  /// When the first job that ends was handed in; unset before.
+  [[nodiscard]] std::optional<Millis> demand_since() const {
+    return demand_since_;
+  }
   [[nodiscard]] bool HasChanges() const;
   Batch TakeBatch();
   void OnCommitted(const Batch& batch);
@@ -347,8 +328,8 @@
   std::map<std::string, Worker, std::less<>> workers_;
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;  ///< By step, then worker.
-  std::map<std::string, ArrivalRate, std::less<>> arrivals_;  ///< By pool.
-  bool demand_seen_ = false;
+  std::map<std::string, ArrivalRate, std::less<>> arrivals_;  ///< By queue.
+  std::optional<Millis> demand_since_;
   std::size_t run_count_ = 0;
 };
 
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -124,6 +124,14 @@
   EXPECT_EQ(off, 1U);  // One lends to `busy`, one stays.
 }
 
+TEST_F(FleetTest, TimeBeforeTheFirstDemandDoesNotCountAsIdle) {
+  for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "calm");
+  List();
+  EXPECT_TRUE(Plan({20'000}).empty());
+  Submit("calm", 1);
+  EXPECT_TRUE(Plan({100}).empty());
+}
+
 TEST_F(FleetTest, NoOrderBeforeTheLastHoldersMayHaveEnded) {
   AddMachine("m1", "busy");
   AddMachine("m2", "off");
