Candidates for the lease follow one another; a slow store isn't a silent holder

The leader's renewal came 1 s late, all 43 followers read the lease at once, called the holder stalled after 0.3 s and each sent a transaction to take it: the part's queue was full (429) for 5 s, for the leader too, and three leaders followed within 0.3 s at its end. Ruled out: a leader cut off (its calls were answered 429, its own commits did get through until the others wrote). Change: each node knows its place among the candidates (hash of address and term, small nodes last) and waits 100 ms a place; silence must exceed five readings at the store's present speed; nodes further back read seldomer. Small nodes are named in peers' messages, which replaces their fixed wait of 600 ms. Tests: order of candidates, patience (node_lease_test; new functions).

--- a/bench/job_world.cc
+++ b/bench/job_world.cc
@@ -21,14 +21,14 @@
 constexpr int kQueues = 4;
 constexpr jobs::Resources kMachine{64'000, 128'000, 0};
 constexpr Millis kMove{1500};
-constexpr Millis kHop{2};           // One way, to a worker or the store.
-constexpr Millis kStoreAnswer{6};   // One commit.
-constexpr Millis kCommitGap{20};    // Commits are gathered for this long.
-constexpr Millis kPlanGap{250};     // Plans without an event.
+constexpr Millis kHop{2};          // One way, to a worker or the store.
+constexpr Millis kStoreAnswer{6};  // One commit.
+constexpr Millis kCommitGap{20};   // Commits are gathered for this long.
+constexpr Millis kPlanGap{250};    // Plans without an event.
 constexpr Millis kFleetGap{100};
-constexpr Millis kReportGap{900};   // A worker's report without an end.
+constexpr Millis kReportGap{900};  // A worker's report without an end.
 constexpr double kTurnSeconds = 8;
-constexpr Millis kWarmUp{3000};     // Workers are up before the first job.
+constexpr Millis kWarmUp{3000};  // Workers are up before the first job.
 constexpr Millis kCoolDown{12'000};
 constexpr WallMillis kWall{1'700'000'000'000};
 constexpr const char* kSparePool = "spare";
@@ -118,9 +118,8 @@
     }
     std::sort(sizes_.begin(), sizes_.end(), std::greater<>());
     sizes_.resize(sizes_.size() / 10);
-    const auto in_time =
-        std::count_if(sizes_.begin(), sizes_.end(),
-                      [](const auto& it) { return it.second; });
+    const auto in_time = std::count_if(
+        sizes_.begin(), sizes_.end(), [](const auto& it) { return it.second; });
     if (!sizes_.empty()) {
       out_.largest =
           static_cast<double>(in_time) / static_cast<double>(sizes_.size());
@@ -217,8 +216,8 @@
          t += kSlice) {
       for (int i = 0; i < kQueues; ++i) {
         const double rate = load_.utilisation * cores / Work(kKinds[i]);
-        const int n = std::poisson_distribution<int>(
-            rate * Level(i, t) * kSlice)(random_);
+        const int n = std::poisson_distribution<int>(rate * Level(i, t) *
+                                                     kSlice)(random_);
         for (int k = 0; k < n; ++k) {
           const double at = (t + Uniform() * kSlice) * 1000;
           AddJob(i, first + Millis{static_cast<std::int64_t>(at)});
@@ -234,8 +233,8 @@
     job.at = at;
     job.hopeless = load_.shape == LoadShape::kHopeless && Uniform() < 0.1;
     jobs::JobSpec spec;
-    const int steps = std::max(
-        1, static_cast<int>(std::lround(LogNormal(kind.steps, 0.4))));
+    const int steps =
+        std::max(1, static_cast<int>(std::lround(LogNormal(kind.steps, 0.4))));
     const double cores =
         std::min(static_cast<double>(kMachine.cpu_milli) / 1000,
                  LogNormal(kind.cores, 0.45));
@@ -250,9 +249,8 @@
       step.need = {static_cast<std::int64_t>(cores * 1000), 1000, 0};
       if (s > 0) step.after = {s - 1};
       const double mean = LogNormal(kind.task_ms, 0.5);
-      const double guess =
-          std::exp(std::normal_distribution<double>(0, load_.estimate_spread)(
-              random_));
+      const double guess = std::exp(
+          std::normal_distribution<double>(0, load_.estimate_spread)(random_));
       step.estimate = Millis{static_cast<std::int64_t>(mean * guess) + 1};
       double longest = 0;
       auto& times = job.run_times.emplace_back();
@@ -328,31 +326,31 @@
   // The report is asked for now and heard a hop later.
   void Report(EmulatedMachine& machine) {
     machine.reported = now_;
-    At(now_ + kHop, [this, &machine, worker = machine.view.worker,
-                     sent = now_] {
-      if (machine.view.worker != worker) return;
-      jobs::Worker* known = scheduler_.FindWorker(worker);
-      if (!known) return;
-      std::erase_if(machine.ended, [known](const jobs::EndedRun& it) {
-        return it.number <= known->committed;
-      });
-      known->confirmed = known->committed;
-      jobs::WorkerReport report;
-      report.clock_ms = now_.count;
-      report.born = machine.born;
-      for (const auto& [task, active] : machine.active) {
-        const double length =
-            static_cast<double>((active.ends - active.started).count);
-        const double done =
-            static_cast<double>((now_ - active.started).count) / length;
-        report.active.push_back(
-            {task, active.run, "", static_cast<int>(done * 100), 0});
-      }
-      report.ended = machine.ended;
-      scheduler_.NoteLease(*known, now_);
-      scheduler_.OnReport(worker, report, sent, now_);
-      plan_due_ = true;
-    });
+    At(now_ + kHop,
+       [this, &machine, worker = machine.view.worker, sent = now_] {
+         if (machine.view.worker != worker) return;
+         jobs::Worker* known = scheduler_.FindWorker(worker);
+         if (!known) return;
+         std::erase_if(machine.ended, [known](const jobs::EndedRun& it) {
+           return it.number <= known->committed;
+         });
+         known->confirmed = known->committed;
+         jobs::WorkerReport report;
+         report.clock_ms = now_.count;
+         report.born = machine.born;
+         for (const auto& [task, active] : machine.active) {
+           const double length =
+               static_cast<double>((active.ends - active.started).count);
+           const double done =
+               static_cast<double>((now_ - active.started).count) / length;
+           report.active.push_back(
+               {task, active.run, "", static_cast<int>(done * 100), 0});
+         }
+         report.ended = machine.ended;
+         scheduler_.NoteLease(*known, now_);
+         scheduler_.OnReport(worker, report, sent, now_);
+         plan_due_ = true;
+       });
   }
 
   void Plan() {
@@ -412,7 +410,8 @@
       scheduler_.OnCommitted(batch);
       plan_due_ = true;
       for (const auto& [id, state] : batch.shown) {
-        if (state == jobs::JobState::kCompleted) complete_.try_emplace(id, now_);
+        if (state == jobs::JobState::kCompleted)
+          complete_.try_emplace(id, now_);
       }
       for (const auto& [worker, number] : batch.ends) {
         if (EmulatedMachine* it = Find(worker)) Report(*it);
@@ -429,8 +428,7 @@
       fleet_.NoteListing(now_);
       fleet_.OnMachines(list, now_);
     }
-    for (const jobs::MachineOrder& it :
-         fleet_.Plan({}, scheduler_, now_)) {
+    for (const jobs::MachineOrder& it : fleet_.Plan({}, scheduler_, now_)) {
       At(now_ + kHop, [this, it] {
         EmulatedMachine& machine = machines_.at(it.machine);
         if (!machine.active.empty()) {
@@ -467,7 +465,8 @@
       out_.worth_earned += job.worth;
       earned_[queue] += job.worth;
     }
-    const bool timely = done != complete_.end() && done->second <= job.objective;
+    const bool timely =
+        done != complete_.end() && done->second <= job.objective;
     sizes_.emplace_back(job.worth / kKinds[queue].worth, timely);
   }
 
--- a/bench/job_world.h
+++ b/bench/job_world.h
@@ -54,10 +54,10 @@
   int late = 0;
   int unfinished = 0;
   double worth_owed = 0;
-  double worth_earned = 0;       ///< Of jobs complete within their objective.
-  double worst_queue = 1;        ///< Least share in time of a queue.
-  double largest = 1;  ///< Share in time of the largest tenth of jobs.
-  double pool_machine_s = 0;     ///< Machines in pools.
+  double worth_earned = 0;    ///< Of jobs complete within their objective.
+  double worst_queue = 1;     ///< Least share in time of a queue.
+  double largest = 1;         ///< Share in time of the largest tenth of jobs.
+  double pool_machine_s = 0;  ///< Machines in pools.
   int moves = 0;
   std::vector<std::string> broken;  ///< Promises seen broken.
 
--- a/bench/jobs.cc
+++ b/bench/jobs.cc
@@ -44,9 +44,9 @@
             << std::setw(7) << sum.unfinished << std::fixed
             << std::setprecision(3) << std::setw(8) << sum.share()
             << std::setw(8) << worst / seeds << std::setw(8) << largest / seeds
-            << std::setprecision(0)
-            << std::setw(8) << sum.pool_machine_s / seeds << std::setw(7)
-            << sum.moves / seeds << '\n';
+            << std::setprecision(0) << std::setw(8)
+            << sum.pool_machine_s / seeds << std::setw(7) << sum.moves / seeds
+            << '\n';
 }
 
 }  // namespace
@@ -62,7 +62,8 @@
               << "'\n";
     return 2;
   }
-  const double utilisation = argc > 3 ? std::atof(argv[3]) : JobLoad{}.utilisation;
+  const double utilisation =
+      argc > 3 ? std::atof(argv[3]) : JobLoad{}.utilisation;
   std::cout << "load       policy         jobs in_time   late unfin.   share"
                "   worst largest  pool_s  moves\n";
   for (int shape = 0; shape < hemlockward::bench::kLoadShapes; ++shape) {
--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -118,8 +118,8 @@
   peer::gen::Message message;
   message.__set_job_call(out);
   const std::string address = lease_.lease->address;
-  auto answer =
-      co_await peers_.Call(address, message, std::min(left, kForwardTimeout));
+  auto answer = co_await peer_client_.Call(address, message,
+                                           std::min(left, kForwardTimeout));
   if (!answer) {
     if (answer.error().failure != peer::PeerFailure::kNotSent) {
       *may_have_run = true;
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -23,6 +23,10 @@
 constexpr Millis kCheckInterval{300};
 constexpr Millis kReadInterval{250};
 constexpr Millis kRetryPause{100};
+/// The further back a candidate, the seldomer it reads: this many ranks add
+/// one interval.
+constexpr int kRanksPerPause = 4;
+constexpr Millis kLongestReadPause{700};
 /// A holder whose newest renewal is older than this may be cut off.
 constexpr Millis kRenewalLate{1000};
 /// A peer that wasn't heard of for so long isn't passed on.
@@ -33,7 +37,6 @@
 /// to 4 kB, 1,500 times a second on the largest deployments.
 constexpr double kAmpleCpu = 0.2;
 constexpr double kAmpleLink = 50;
-constexpr Millis kSmallWait{600};
 /// A beat's time may be behind by one slow answer of the store (0.55 s at a
 /// sixtieth of its speed), as the holder knows the store's clock from answers.
 constexpr Millis kBeatSlack{600};
@@ -69,8 +72,10 @@
     co_await kernel::Sleep(kCheckInterval);
     co_return;
   }
+  const Millis asked = clock_.Now();
   auto page = co_await platform_.Read(kLeaseTable, kPart, "", kReadTimeout);
   if (leads_) co_return;
+  const Millis reading = clock_.Now() - asked;
   if (!page) {
     beat_watch_.OnUnreadable();
     // Another node may know who leads.
@@ -96,27 +101,36 @@
   beat_watch_.OnRead(view, now);
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
+  const int rank = Rank();
   const bool silent =
-      beat_watch_.IsSilent(now, holder_stalls_ ? kStall : kSilence);
+      beat_watch_.IsSilent(now, TakeoverSilence(holder_stalls_, reading, rank));
+  if (!free && !holder_gone_) {
+    free_since_ = std::nullopt;
+  } else if (!free_since_) {
+    free_since_ = now;
+  }
+  const bool turn = free_since_ && now - *free_since_ >= kRankStep * rank;
   const bool candidate = config_.version > 0 && !stopping_;
-  if (candidate && (free || holder_gone_ || silent)) {
+  if (candidate && (turn || silent)) {
     LogLine(LogLevel::kInfo, "lease_is_free")
         .With("released", free)
         .With("holder_gone", holder_gone_)
         .With("holder_stalls", holder_stalls_)
+        .With("rank", rank)
+        .With("reading_ms", reading.count)
         .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
     // Machines are often restarted in turn: one that has been is the safer
     // leader.
     std::int64_t wait = static_cast<std::int64_t>(random_() % kMostJitterMs);
     if (now - started_ > kLongUp) wait += kMostJitterMs;
-    if (settings_.cpu_share < kAmpleCpu || settings_.link_mbps < kAmpleLink) {
-      wait += kSmallWait.count;
-    }
     co_await kernel::Sleep({wait});
     co_await TakeLease(view, page->store_ms);
     co_return;
   }
-  co_await kernel::Sleep(kReadInterval);
+  Millis pause{kReadInterval.count +
+               kReadInterval.count * rank / kRanksPerPause};
+  if (free_since_ && candidate) pause = *free_since_ + kRankStep * rank - now;
+  co_await kernel::Sleep(std::clamp(pause, kRetryPause, kLongestReadPause));
 }
 
 // True while the holder says that it leads and renews. Evidence that it leads
@@ -156,22 +170,32 @@
   check.__set_beat_version(static_cast<std::int64_t>(beat_version_));
   check.__set_sender(settings_.peer);
   std::vector<std::string> peers;
-  for (const auto& [address, heard] : peers_heard_) {
-    if (now - heard < kPeerForgotten) peers.push_back(address);
+  std::vector<std::string> small;
+  if (IsSmall()) small.push_back(settings_.peer);
+  for (const auto& [address, peer] : peers_) {
+    if (now - peer.heard >= kPeerForgotten) continue;
+    peers.push_back(address);
+    if (peer.small) small.push_back(address);
   }
   check.__set_peers(peers);
+  check.__set_small(small);
   return check;
 }
 
 // Takes over what a peer knows better: the configuration and who leads.
 void NodeProcess::Learn(const peer::gen::LeaderCheck& check) {
   const Millis now = clock_.Now();
-  if (!check.sender.empty()) peers_heard_[check.sender] = now;
+  if (!check.sender.empty()) peers_[check.sender].heard = now;
   for (const std::string& it : check.peers) {
-    if (it != settings_.peer) peers_heard_.try_emplace(it, now);
+    if (it != settings_.peer) peers_.try_emplace(it, Peer{now});
   }
-  std::erase_if(peers_heard_, [&](const auto& it) {
-    return now - it.second >= kPeerForgotten;
+  for (const std::string& it : check.small) {
+    if (const auto peer = peers_.find(it); peer != peers_.end()) {
+      peer->second.small = true;
+    }
+  }
+  std::erase_if(peers_, [&](const auto& it) {
+    return now - it.second.heard >= kPeerForgotten;
   });
   if (!check.config.empty()) {
     ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config});
@@ -194,18 +218,31 @@
   holder_gone_ = holder_stalls_ = holder_ended_ = false;
 }
 
+int NodeProcess::Rank() const {
+  std::vector<Candidate> peers;
+  for (const auto& [address, peer] : peers_) {
+    const bool holder = lease_.lease && lease_.lease->address == address;
+    if (!holder) peers.push_back({address, peer.small});
+  }
+  return TakeoverRank({settings_.peer, IsSmall()}, peers,
+                      lease_.lease ? lease_.lease->term : 0);
+}
+
+bool NodeProcess::IsSmall() const {
+  return settings_.cpu_share < kAmpleCpu || settings_.link_mbps < kAmpleLink;
+}
+
 std::string NodeProcess::RandomPeer() {
-  if (peers_heard_.empty()) return {};
-  auto it = peers_heard_.begin();
-  std::advance(it,
-               static_cast<std::ptrdiff_t>(random_() % peers_heard_.size()));
+  if (peers_.empty()) return {};
+  auto it = peers_.begin();
+  std::advance(it, static_cast<std::ptrdiff_t>(random_() % peers_.size()));
   return it->first;
 }
 
 Awaitable<bool> NodeProcess::AskPeer(std::string address, bool* refused) {
   peer::gen::Message message;
   message.__set_leader_check(Introduction(heard_.config_version));
-  auto answer = co_await peers_.Call(address, message, kCheckTimeout);
+  auto answer = co_await peer_client_.Call(address, message, kCheckTimeout);
   if (!answer) {
     *refused = answer.error().refused;
     co_return false;
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
+#include <tuple>
+
+#include "base/random.h"
 
 namespace hemlockward::node {
 
@@ -78,6 +81,23 @@
   return view;
 }
 
+int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
+                 std::uint64_t term) {
+  const auto place = [term](const Candidate& it) {
+    return std::tuple(it.small, base::StableHash(it.address, term), it.address);
+  };
+  const auto own = place(self);
+  return static_cast<int>(
+      std::count_if(peers.begin(), peers.end(), [&](const Candidate& it) {
+        return it.address != self.address && place(it) < own;
+      }));
+}
+
+Millis TakeoverSilence(bool holder_stalls, Millis reading, int rank) {
+  const Millis least = holder_stalls ? kStall : kSilence;
+  return std::max(least, reading * kSlowReadings) + kRankStep * rank;
+}
+
 void BeatWatch::OnHeard(std::uint64_t version, Millis now) {
   version_ = version;
   first_seen_ = last_read_ = now;
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -34,6 +34,13 @@
 inline constexpr Millis kSilence{1300};
 /// Enough when the holder itself says that it can't renew.
 inline constexpr Millis kStall{300};
+/// Candidates follow one another at this distance, so that a store that is slow
+/// isn't flooded by all of them: a free lease is taken within 10 ms at its
+/// usual speed.
+inline constexpr Millis kRankStep{100};
+/// Silence shorter than this many readings at the store's present speed may
+/// only show that the store is slow.
+inline constexpr int kSlowReadings = 5;
 /// Readings further apart than this don't show that the beat stood still.
 inline constexpr Millis kReadingGap{900};
 
@@ -66,6 +73,21 @@
 
 LeaseView ReadLease(std::span<const platform::StoreRow> rows);
 
+/// A node that may take the lease.
+struct Candidate {
+  std::string address;
+  bool small = false;  ///< Little processor time or bandwidth: leads last.
+};
+
+/// The place of `self` among the candidates for the term after `term`: how many
+/// of `peers` go before it. All nodes that know the same peers agree.
+int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
+                 std::uint64_t term);
+
+/// How long the holder's beat must stand still before the candidate of `rank`
+/// takes the lease, when a reading of the store takes `reading`.
+Millis TakeoverSilence(bool holder_stalls, Millis reading, int rank);
+
 /// Watches the beat and says when its holder is silent.
 class BeatWatch {
  public:
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -47,7 +47,7 @@
       incarnation_(random_() | 1U),
       http_(pool),
       platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
-      peers_(pool),
+      peer_client_(pool),
       commit_signal_(pool.context()),
       stored_signal_(pool.context()),
       scheduler_({settings_.worker_lease}),
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -60,6 +61,11 @@
   std::int64_t config_version = 0;
 };
 
+struct Peer {
+  Millis heard{0};
+  bool small = false;
+};
+
 class NodeProcess {
  public:
   /// Starts at once; runs on one thread. Throws when an address is in use.
@@ -98,6 +104,8 @@
       std::int64_t config_version);
   void Learn(const peer::gen::LeaderCheck& check);
   std::string RandomPeer();
+  [[nodiscard]] int Rank() const;
+  [[nodiscard]] bool IsSmall() const;
   Awaitable<void> TakeLease(const LeaseView& view, std::int64_t store_ms);
   /// The store's clock now, from its newest answer; 0: not known yet.
   [[nodiscard]] std::int64_t StoreTime() const {
@@ -151,7 +159,7 @@
   base::Metrics metrics_;
   kernel::HttpClient http_;
   platform::PlatformClient platform_;
-  peer::PeerClient peers_;
+  peer::PeerClient peer_client_;
 
   // What the operator wrote.
   jobs::Configuration config_;
@@ -165,7 +173,8 @@
   bool holder_gone_ = false;    ///< Evidence that the holder leads no more.
   bool holder_ended_ = false;   ///< Another process answers at its address.
   bool holder_stalls_ = false;  ///< It says that it can't renew.
-  std::map<std::string, Millis> peers_heard_;
+  std::optional<Millis> free_since_;  ///< The lease was first seen free.
+  std::map<std::string, Peer> peers_;
   Heard heard_;
   bool leads_ = false;
   bool loaded_ = false;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2481,6 +2481,10 @@
 void LeaderCheck::__set_beat_version(const int64_t val) {
   this->beat_version = val;
 }
+
+void LeaderCheck::__set_small(const std::vector<std::string> & val) {
+  this->small = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2601,6 +2605,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->small.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->small.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += iprot->readString(this->small[_i103]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.small = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2653,10 +2677,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter99;
-    for (_iter99 = this->peers.begin(); _iter99 != this->peers.end(); ++_iter99)
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->peers.begin(); _iter104 != this->peers.end(); ++_iter104)
     {
-      xfer += oprot->writeString((*_iter99));
+      xfer += oprot->writeString((*_iter104));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2666,6 +2690,18 @@
   xfer += oprot->writeI64(this->beat_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("small", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->small.size()));
+    std::vector<std::string> ::const_iterator _iter105;
+    for (_iter105 = this->small.begin(); _iter105 != this->small.end(); ++_iter105)
+    {
+      xfer += oprot->writeString((*_iter105));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2683,34 +2719,37 @@
   swap(a.sender, b.sender);
   swap(a.peers, b.peers);
   swap(a.beat_version, b.beat_version);
+  swap(a.small, b.small);
   swap(a.__isset, b.__isset);
 }
 
-LeaderCheck::LeaderCheck(const LeaderCheck& other100) {
-  incarnation = other100.incarnation;
-  leads = other100.leads;
-  term = other100.term;
-  renewal_age_ms = other100.renewal_age_ms;
-  config_version = other100.config_version;
-  config = other100.config;
-  lease = other100.lease;
-  sender = other100.sender;
-  peers = other100.peers;
-  beat_version = other100.beat_version;
-  __isset = other100.__isset;
-}
-LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other101) {
-  incarnation = other101.incarnation;
-  leads = other101.leads;
-  term = other101.term;
-  renewal_age_ms = other101.renewal_age_ms;
-  config_version = other101.config_version;
-  config = other101.config;
-  lease = other101.lease;
-  sender = other101.sender;
-  peers = other101.peers;
-  beat_version = other101.beat_version;
-  __isset = other101.__isset;
+LeaderCheck::LeaderCheck(const LeaderCheck& other106) {
+  incarnation = other106.incarnation;
+  leads = other106.leads;
+  term = other106.term;
+  renewal_age_ms = other106.renewal_age_ms;
+  config_version = other106.config_version;
+  config = other106.config;
+  lease = other106.lease;
+  sender = other106.sender;
+  peers = other106.peers;
+  beat_version = other106.beat_version;
+  small = other106.small;
+  __isset = other106.__isset;
+}
+LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other107) {
+  incarnation = other107.incarnation;
+  leads = other107.leads;
+  term = other107.term;
+  renewal_age_ms = other107.renewal_age_ms;
+  config_version = other107.config_version;
+  config = other107.config;
+  lease = other107.lease;
+  sender = other107.sender;
+  peers = other107.peers;
+  beat_version = other107.beat_version;
+  small = other107.small;
+  __isset = other107.__isset;
   return *this;
 }
 void LeaderCheck::printTo(std::ostream& out) const {
@@ -2726,6 +2765,7 @@
   out << ", " << "sender=" << to_string(sender);
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "beat_version=" << to_string(beat_version);
+  out << ", " << "small=" << to_string(small);
   out << ")";
 }
 
@@ -3035,37 +3075,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other102) {
-  heartbeat = other102.heartbeat;
-  heartbeat_reply = other102.heartbeat_reply;
-  delta_request = other102.delta_request;
-  delta_reply = other102.delta_reply;
-  forward_request = other102.forward_request;
-  forward_reply = other102.forward_reply;
-  outcome_request = other102.outcome_request;
-  slot_request = other102.slot_request;
-  slot_reply = other102.slot_reply;
-  error = other102.error;
-  job_call = other102.job_call;
-  job_reply = other102.job_reply;
-  leader_check = other102.leader_check;
-  __isset = other102.__isset;
-}
-Message& Message::operator=(const Message& other103) {
-  heartbeat = other103.heartbeat;
-  heartbeat_reply = other103.heartbeat_reply;
-  delta_request = other103.delta_request;
-  delta_reply = other103.delta_reply;
-  forward_request = other103.forward_request;
-  forward_reply = other103.forward_reply;
-  outcome_request = other103.outcome_request;
-  slot_request = other103.slot_request;
-  slot_reply = other103.slot_reply;
-  error = other103.error;
-  job_call = other103.job_call;
-  job_reply = other103.job_reply;
-  leader_check = other103.leader_check;
-  __isset = other103.__isset;
+Message::Message(const Message& other108) {
+  heartbeat = other108.heartbeat;
+  heartbeat_reply = other108.heartbeat_reply;
+  delta_request = other108.delta_request;
+  delta_reply = other108.delta_reply;
+  forward_request = other108.forward_request;
+  forward_reply = other108.forward_reply;
+  outcome_request = other108.outcome_request;
+  slot_request = other108.slot_request;
+  slot_reply = other108.slot_reply;
+  error = other108.error;
+  job_call = other108.job_call;
+  job_reply = other108.job_reply;
+  leader_check = other108.leader_check;
+  __isset = other108.__isset;
+}
+Message& Message::operator=(const Message& other109) {
+  heartbeat = other109.heartbeat;
+  heartbeat_reply = other109.heartbeat_reply;
+  delta_request = other109.delta_request;
+  delta_reply = other109.delta_reply;
+  forward_request = other109.forward_request;
+  forward_reply = other109.forward_reply;
+  outcome_request = other109.outcome_request;
+  slot_request = other109.slot_request;
+  slot_reply = other109.slot_reply;
+  error = other109.error;
+  job_call = other109.job_call;
+  job_reply = other109.job_reply;
+  leader_check = other109.leader_check;
+  __isset = other109.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -941,7 +941,7 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), small(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
@@ -952,6 +952,7 @@
   bool sender :1;
   bool peers :1;
   bool beat_version :1;
+  bool small :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
@@ -982,6 +983,7 @@
   std::string sender;
   std::vector<std::string>  peers;
   int64_t beat_version;
+  std::vector<std::string>  small;
 
   _LeaderCheck__isset __isset;
 
@@ -1005,6 +1007,8 @@
 
   void __set_beat_version(const int64_t val);
 
+  void __set_small(const std::vector<std::string> & val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1027,6 +1031,8 @@
       return false;
     if (!(beat_version == rhs.beat_version))
       return false;
+    if (!(small == rhs.small))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -126,6 +126,7 @@
   8: string sender,             // `IP:port` for peers' calls
   9: list<string> peers,        // other nodes heard of lately
   10: i64 beat_version,         // of a leader's newest renewal
+  11: list<string> small,       // of `sender` and `peers`, those that lead last
 }
 
 union Message {
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "node/lease.h"
 
 namespace hemlockward::node {
@@ -59,6 +61,33 @@
   EXPECT_FALSE(watch.IsSilent({1600}, kStall));
 }
 
+TEST(TakeoverTest, CandidatesAgreeOnTheirOrder) {
+  std::vector<Candidate> all{
+      {"10.0.0.1:1"}, {"10.0.0.2:1"}, {"10.0.0.3:1"}, {"10.0.0.4:1"}};
+  std::set<std::string> first;
+  for (std::uint64_t term = 0; term < 30; ++term) {
+    std::set<int> ranks;
+    for (const Candidate& it : all) {
+      ranks.insert(TakeoverRank(it, all, term));
+      if (TakeoverRank(it, all, term) == 0) first.insert(it.address);
+    }
+    EXPECT_EQ(ranks, (std::set<int>{0, 1, 2, 3}));
+  }
+  // No node is always last.
+  EXPECT_EQ(first.size(), all.size());
+  EXPECT_EQ(TakeoverRank({"10.0.0.9:1"}, {}, 3), 0);
+  all[2].small = true;
+  EXPECT_EQ(TakeoverRank(all[2], all, 5), 3);
+}
+
+TEST(TakeoverTest, ASlowStoreIsNotASilentHolder) {
+  EXPECT_EQ(TakeoverSilence(true, Millis{4}, 0), kStall);
+  EXPECT_EQ(TakeoverSilence(false, Millis{4}, 0), kSilence);
+  EXPECT_GE(TakeoverSilence(true, Millis{400}, 0), Millis{2000});
+  EXPECT_GT(TakeoverSilence(true, Millis{4}, 20),
+            TakeoverSilence(true, Millis{4}, 1) + Millis{1000});
+}
+
 TEST(CommitTimeoutTest, FollowsTheStoresPaceAndBacksOff) {
   CommitTimeout timeout;
   for (int i = 0; i < 50; ++i) timeout.OnAnswer(Millis{8});
