A commit is awaited while it is sent again; new jobs are written first

Change: up to three sends of one transaction are under way; the first answer decides (all carry the same conditions, so that one takes effect at most). Rows of jobs that clients wait for go first, then of jobs that are over.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -37,6 +37,14 @@
   return longest;
 }
 
+// Which rows go first when a slow store takes few: jobs that clients wait to
+// see accepted, then jobs that are over; the rest only repeats work after a
+// takeover.
+int CommitRank(const Job& job) {
+  if (!job.stored) return 0;
+  return IsOver(job.state) ? 1 : 2;
+}
+
 }  // namespace
 
 std::string_view ToText(JobState state) {
@@ -267,9 +275,16 @@
     batch.rows.push_back({kWorkerTable, id, EncodeWorkerRow(worker)});
     batch.workers.push_back(id);
   }
-  while (!dirty_.empty() && batch.rows.size() + kRowsPerJob <= kMostRows) {
-    Job& job = **dirty_.begin();
-    dirty_.erase(dirty_.begin());
+  std::vector<std::pair<int, Job*>> order;
+  order.reserve(dirty_.size());
+  for (Job* it : dirty_) order.emplace_back(CommitRank(*it), it);
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [rank, it] : order) {
+    if (batch.rows.size() + kRowsPerJob > kMostRows) break;
+    Job& job = *it;
+    dirty_.erase(it);
     const bool over = IsOver(job.state);
     job.sent = true;
     if (!job.stored && !over) {
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -1,6 +1,7 @@
 // Taking, keeping and giving up the lease, and the commits under it.
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "jobs/rows.h"
@@ -19,6 +20,9 @@
 /// Commits are gathered for this long: each is a priced call, and jobs take
 /// seconds.
 constexpr Millis kCommitInterval{20};
+/// Sends of one transaction that may be under way at once: a part of the store
+/// does them one after another.
+constexpr int kMostSends = 3;
 constexpr Millis kCheckTimeout{400};
 constexpr Millis kCheckInterval{300};
 constexpr Millis kReadInterval{250};
@@ -44,15 +48,6 @@
 /// A worker's clock may run 2% slow; orders under way take a moment.
 constexpr Millis kLeaseSlack{400};
 
-platform::StoreTransaction ToTransaction(const jobs::Batch& batch) {
-  platform::StoreTransaction transaction;
-  transaction.part = kPart;
-  for (const jobs::RowWrite& it : batch.rows) {
-    transaction.writes.push_back({it.table, it.key, it.value, it.remove});
-  }
-  return transaction;
-}
-
 }  // namespace
 
 Awaitable<void> NodeProcess::WatchLease() {
@@ -402,83 +397,36 @@
   }
 }
 
-// Sends one transaction until it is known to be done or the lease is lost.
+// Sends one transaction of `flight`; several may be under way.
+Awaitable<void> NodeProcess::SendCommit(std::shared_ptr<CommitFlight> flight) {
+  const Millis sent = clock_.Now();
+  auto result = co_await platform_.Commit(flight->transaction, kCommitTimeout);
+  --flight->in_flight;
+  flight->answers.push_back({std::move(result), clock_.Now() - sent});
+  flight->answered.Notify();
+}
+
+// Commits one batch: sends its transaction, again while no answer comes, until
+// it is known to be done, surely not done, or the lease is lost. All sends
+// carry the same conditions, so that at most one takes effect.
 Awaitable<bool> NodeProcess::CommitOnce(std::uint64_t term, bool release) {
   const jobs::Batch batch = loaded_ ? scheduler_.TakeBatch() : jobs::Batch{};
-  platform::StoreTransaction transaction = ToTransaction(batch);
-  transaction.conditions.push_back({kLeaseTable, kLeaseKey, fence_});
-  transaction.conditions.push_back({kLeaseTable, kBeatKey, beat_version_});
   const std::string beat = EncodeBeat(term, ++beat_number_, StoreTime());
-  transaction.writes.push_back({kLeaseTable, kBeatKey, beat});
-  if (release) {
-    const LeaseRow row{settings_.name, settings_.peer,
-                       incarnation_,   term,
-                       true,           clock_.Now() - machine_ordered_};
-    transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
-  }
+  auto flight = std::make_shared<CommitFlight>(pool_.context());
+  flight->transaction = ToTransaction(batch, beat, release);
   committing_ = true;
   const Millis sent = commit_started_ = clock_.Now();
-  bool done = false;
-  bool unknown = false;  // An earlier send of it may still take effect.
-  while (Leads(term) && !done) {
-    const Millis begin = clock_.Now();
-    auto version =
-        co_await platform_.Commit(transaction, commit_timeout_.value());
-    if (!Leads(term)) break;
-    const bool silent =
-        !version && version.error().failure == CallFailure::kUnknown;
-    if (silent) {
-      commit_timeout_.OnSilence();
-    } else {
-      commit_timeout_.OnAnswer(clock_.Now() - begin);
-    }
-    if (version) {
-      beat_version_ = version->version;
-      NoteStoreTime(version->store_ms);
-      done = true;
-      break;
-    }
-    if (version.error().failure != CallFailure::kConflict) {
-      LogLine(LogLevel::kWarning, "commit_failed")
-          .With("beat", beat)
-          .With("rows", batch.rows.size())
-          .With("error", version.error().what);
-      if (release) break;
-      const bool surely_not =
-          version.error().failure != CallFailure::kUnknown && !unknown;
-      unknown = unknown || !surely_not;
-      if (surely_not) {
-        // Nothing of it is done: its new jobs are refused, the rest goes into
-        // the next transaction.
-        scheduler_.OnCommitFailed(batch);
-        committing_ = false;
-        scheduler_.WithdrawUnstored();
-        stored_signal_.Notify();
-        co_await kernel::Sleep(kRetryPause);
-        co_return true;
-      }
-      // A store that answers or resets at once isn't asked at once again.
-      const Millis took = clock_.Now() - begin;
-      if (took < kRetryPause) co_await kernel::Sleep(kRetryPause - took);
-      continue;
-    }
-    // Either an earlier send of this transaction was done, or the lease is
-    // another's.
-    const LeaseView view = ReadLease(version.error().rows);
-    if (view.beat == beat && view.lease_version == fence_) {
-      beat_version_ = view.beat_version;
-      done = true;
-      break;
-    }
-    LogLine(LogLevel::kWarning, "commit_refused")
-        .With("beat", beat)
-        .With("found", view.beat)
-        .With("lease_version", view.lease_version)
-        .With("fence", fence_);
-    StepDown("lease lost");
-  }
+  const CommitEnd end = co_await AwaitCommit(term, beat, release, flight);
   committing_ = false;
-  if (!done) {
+  if (end == CommitEnd::kNotDone && Leads(term) && !release) {
+    // Its new jobs are refused, the rest goes into the next transaction.
+    scheduler_.OnCommitFailed(batch);
+    scheduler_.WithdrawUnstored();
+    stored_signal_.Notify();
+    co_await kernel::Sleep(kRetryPause);
+    co_return true;
+  }
+  if (end != CommitEnd::kDone) {
     stored_signal_.Notify();
     co_return false;
   }
@@ -495,6 +443,84 @@
   co_return true;
 }
 
+platform::StoreTransaction NodeProcess::ToTransaction(const jobs::Batch& batch,
+                                                      const std::string& beat,
+                                                      bool release) const {
+  platform::StoreTransaction transaction;
+  transaction.part = kPart;
+  for (const jobs::RowWrite& it : batch.rows) {
+    transaction.writes.push_back({it.table, it.key, it.value, it.remove});
+  }
+  transaction.conditions.push_back({kLeaseTable, kLeaseKey, fence_});
+  transaction.conditions.push_back({kLeaseTable, kBeatKey, beat_version_});
+  transaction.writes.push_back({kLeaseTable, kBeatKey, beat});
+  if (release) {
+    const LeaseRow row{settings_.name, settings_.peer,
+                       incarnation_,   term_,
+                       true,           clock_.Now() - machine_ordered_};
+    transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
+  }
+  return transaction;
+}
+
+Awaitable<CommitEnd> NodeProcess::AwaitCommit(
+    std::uint64_t term, std::string beat, bool release,
+    std::shared_ptr<CommitFlight> flight) {
+  Millis next_send = clock_.Now();
+  bool unknown = false;  // A send without an answer may still take effect.
+  while (Leads(term)) {
+    const Millis now = clock_.Now();
+    if (now >= next_send && flight->in_flight < kMostSends) {
+      if (flight->in_flight > 0) commit_timeout_.OnSilence();
+      ++flight->in_flight;
+      pool_.Spawn("send_commit", SendCommit(flight));
+      next_send = now + commit_timeout_.value();
+    }
+    if (flight->answers.empty()) {
+      const Millis wait = std::max(next_send - now, kRetryPause);
+      co_await flight->answered.Wait(wait);
+      continue;
+    }
+    const auto [result, took] = std::move(flight->answers.back());
+    flight->answers.pop_back();
+    if (result) {
+      commit_timeout_.OnAnswer(took);
+      beat_version_ = result->version;
+      NoteStoreTime(result->store_ms);
+      co_return CommitEnd::kDone;
+    }
+    const platform::CallError& error = result.error();
+    if (error.failure == CallFailure::kConflict) {
+      // Either an earlier send was done, or the lease is another's.
+      commit_timeout_.OnAnswer(took);
+      const LeaseView view = ReadLease(error.rows);
+      if (view.beat == beat && view.lease_version == fence_) {
+        beat_version_ = view.beat_version;
+        co_return CommitEnd::kDone;
+      }
+      LogLine(LogLevel::kWarning, "commit_refused")
+          .With("beat", beat)
+          .With("found", view.beat)
+          .With("lease_version", view.lease_version)
+          .With("fence", fence_);
+      StepDown("lease lost");
+      break;
+    }
+    LogLine(LogLevel::kWarning, "commit_failed")
+        .With("beat", beat)
+        .With("rows", flight->transaction.writes.size())
+        .With("in_flight", flight->in_flight)
+        .With("error", error.what);
+    if (release) break;
+    unknown = unknown || error.failure == CallFailure::kUnknown;
+    if (!unknown && flight->in_flight == 0) co_return CommitEnd::kNotDone;
+    // A store that answers or resets at once isn't asked at once again.
+    const Millis soon = clock_.Now() + kRetryPause;
+    next_send = flight->in_flight > 0 ? std::max(next_send, soon) : soon;
+  }
+  co_return CommitEnd::kLost;
+}
+
 void NodeProcess::StepDown(std::string_view reason) {
   if (!leads_) return;
   leads_ = loaded_ = false;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -66,6 +66,26 @@
   bool small = false;
 };
 
+/// One transaction that is being committed.
+struct CommitFlight {
+  explicit CommitFlight(boost::asio::io_context& context) : answered(context) {}
+
+  platform::StoreTransaction transaction;
+  int in_flight = 0;
+  struct Answer {
+    tl::expected<platform::StoreCommit, platform::CallError> result;
+    Millis took{0};
+  };
+  std::vector<Answer> answers;
+  kernel::Signal answered;
+};
+
+enum class CommitEnd : std::uint8_t {
+  kDone,
+  kNotDone,  ///< Surely not, and never will be.
+  kLost,     ///< Not known; this node no longer leads, or gives up leading.
+};
+
 class NodeProcess {
  public:
   /// Starts at once; runs on one thread. Throws when an address is in use.
@@ -118,6 +138,12 @@
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
   Awaitable<void> CommitLoop(std::uint64_t term);
   Awaitable<bool> CommitOnce(std::uint64_t term, bool release);
+  Awaitable<void> SendCommit(std::shared_ptr<CommitFlight> flight);
+  Awaitable<CommitEnd> AwaitCommit(std::uint64_t term, std::string beat,
+                                   bool release,
+                                   std::shared_ptr<CommitFlight> flight);
+  [[nodiscard]] platform::StoreTransaction ToTransaction(
+      const jobs::Batch& batch, const std::string& beat, bool release) const;
   void StepDown(std::string_view reason);
   [[nodiscard]] bool Leads(std::uint64_t term) const {
     return leads_ && term_ == term;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -421,6 +421,33 @@
   EXPECT_TRUE(scheduler_.FindWorker("w299")->stored);
 }
 
+TEST_F(SchedulerTest, NewJobsAreWrittenBeforeProgress) {
+  for (int i = 0; i < 85; ++i) {
+    AddWorker("w" + std::to_string(i), 4000);
+    JobSpec spec;
+    spec.steps.push_back(Step(2, 4000));
+    Submit("old" + std::to_string(i), spec);
+  }
+  std::map<std::string, std::vector<EndedRun>> ends;
+  for (const StartOrder& it : Plan().starts) {
+    ends[it.worker].push_back({1, it.task, it.run, EndKind::kDone, ""});
+  }
+  for (const auto& [worker, list] : ends) Report(worker, {}, list);
+  JobSpec spec;
+  spec.steps.push_back(Step(1, 4000));
+  for (int i = 0; i < 20; ++i) {
+    scheduler_.Submit(config_.queues[0], "new" + std::to_string(i), spec,
+                      "source", now_, kWall);
+  }
+  const Batch batch = scheduler_.TakeBatch();
+  const auto fresh =
+      std::count_if(batch.rows.begin(), batch.rows.end(),
+                    [](const RowWrite& it) { return it.key[0] == 'n'; });
+  EXPECT_EQ(fresh, 20);
+  // What is left over isn't acknowledged to the workers.
+  EXPECT_TRUE(batch.ends.empty());
+}
+
 TEST_F(SchedulerTest, RowsRestoreAJob) {
   AddWorker("w1");
   JobSpec spec;
