--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -13,6 +13,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <cstdlib>
+#include <map>
 #include <mutex>
 #include <stop_token>
 #include <thread>
@@ -93,6 +94,44 @@
   return buffer;
 }
 
+// Lines of one event in one second, at most: above what one process decides in
+// its heaviest second (1,500 starts a second on the largest deployments).
+constexpr std::uint64_t kMostPerEvent = 2000;
+
+// Bounds the lines of each event, so that one that repeats under load doesn't
+// drown the others.
+class LineBudget {
+ public:
+  // False when the line is to be left out. `left_out` is set on the first line
+  // of a second to how many were before it.
+  bool Take(std::string_view event, std::uint64_t* left_out) {
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+        std::chrono::steady_clock::now().time_since_epoch());
+    const std::lock_guard lock(mutex_);
+    auto it = events_.find(event);
+    if (it == events_.end()) it = events_.emplace(event, Used{}).first;
+    Used& used = it->second;
+    if (used.second != second) {
+      *left_out = used.lines > kMostPerEvent ? used.lines - kMostPerEvent : 0;
+      used = {second, 0};
+    }
+    return ++used.lines <= kMostPerEvent;
+  }
+
+ private:
+  struct Used {
+    std::chrono::seconds second{0};
+    std::uint64_t lines = 0;
+  };
+  std::mutex mutex_;
+  std::map<std::string, Used, std::less<>> events_;
+};
+
+LineBudget& Budget() {
+  static LineBudget budget;
+  return budget;
+}
+
 class OutputDispatch : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
@@ -165,7 +204,11 @@
 
 LogLine::LogLine(LogLevel level, std::string_view event)
     : level_(level), enabled_(LogEnabled(level)) {
+  if (!enabled_) return;
+  std::uint64_t left_out = 0;
+  enabled_ = Budget().Take(event, &left_out);
   With("event", event);
+  if (left_out > 0) With("left_out_before", left_out);
 }
 
 LogLine::~LogLine() {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -18,7 +18,8 @@
 /// True when a line of this level is written; lets callers skip building it.
 bool LogEnabled(LogLevel level);
 
-/// One structured log line; written when it goes out of scope.
+/// One structured log line; written when it goes out of scope. Of one event at
+/// most 2,000 lines a second are written; the next says how many were left out.
 ///
 ///     LogLine(LogLevel::kInfo, "route").With("request", id).With("vm", vm);
 class LogLine {
--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -28,6 +28,7 @@
 constexpr Millis kDemandWait = base::Seconds(30);
 // An order without an answer is repeated after this; doing it twice is safe.
 constexpr Millis kRepeatOrder{1000};
+constexpr Millis kPoolLogInterval = base::Seconds(1);
 constexpr Millis kListingInterval{500};
 constexpr Millis kListingIntervalIdle{1500};
 // Share of the platform's rate that one leader uses, and its largest burst.
@@ -45,6 +46,18 @@
 
 }  // namespace
 
+std::string_view ToText(MachineAnswer answer) {
+  switch (answer) {
+    case MachineAnswer::kDone:
+      return "done";
+    case MachineAnswer::kBusy:
+      return "busy";
+    case MachineAnswer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 void Fleet::BeginTerm(Millis orders_from, Millis now) {
   orders_from_ = orders_from;
   began_ = now;
@@ -125,7 +138,7 @@
       .With("worker", order.worker)
       .With("pool", order.pool)
       .With("wave", order.wave)
-      .With("answer", static_cast<int>(answer));
+      .With("answer", ToText(answer));
   if (answer == MachineAnswer::kUnknown) return;
   state.ordered = false;
   if (answer == MachineAnswer::kBusy) {
@@ -236,17 +249,17 @@
         std::max(pool.machine_memory, state.machine.capacity.memory_mb);
     if (state.machine.state == MachineState::kMoving ||
         state.machine.state == MachineState::kUpkeep) {
-      ++pool.coming;
+      ++pool.state.coming;
       continue;
     }
     if (!IsFree(state)) continue;
     Worker* worker = scheduler.FindWorker(state.machine.worker);
     if (!worker) {
-      ++pool.coming;
+      ++pool.state.coming;
       continue;
     }
     if (worker->entry.draining || worker->reserved) continue;
-    ++pool.have;
+    ++pool.state.have;
     if (scheduler.IsIdle(*worker) && worker->adopted && !worker->silent) {
       pool.idle.push_back(name);
     }
@@ -273,15 +286,17 @@
         now_cpu + kLaterShare * static_cast<double>(demand.later_cpu);
     const double most =
         std::max(now_cpu, static_cast<double>(demand.arriving_cpu));
-    pool.need = static_cast<int>(std::ceil(most * kNeedFactor / machine));
+    pool.state.need = static_cast<int>(std::ceil(most * kNeedFactor / machine));
     pool.need_soon = static_cast<int>(std::ceil(soon * kNeedFactor / machine));
     const auto memory =
         static_cast<double>(std::max<std::int64_t>(1, pool.machine_memory));
     const int by_memory = static_cast<int>(std::ceil(
         static_cast<double>(demand.memory_mb) * kNeedFactor / memory));
-    pool.need = std::max({pool.need, demand.spread, by_memory});
-    if (demand.stuck) pool.need = std::max(pool.need, pool.have + 1);
-    pool.need_soon = std::max(pool.need_soon, pool.need);
+    pool.state.need = std::max({pool.state.need, demand.spread, by_memory});
+    if (demand.stuck)
+      pool.state.need = std::max(pool.state.need, pool.state.have + 1);
+    pool.need_soon = std::max(pool.need_soon, pool.state.need);
+    NotePool(pool, demand, now);
     std::sort(pool.idle.begin(), pool.idle.end(),
               [&](const std::string& a, const std::string& b) {
                 const auto idle = [&](const std::string& it) {
@@ -295,6 +310,24 @@
   return list;
 }
 
+// One line a second while a pool has too few machines.
+void Fleet::NotePool(const Pool& pool, const PoolDemand& demand, Millis now) {
+  pool_states_[pool.name] = pool.state;
+  if (pool.state.need <= pool.state.have) return;
+  Millis& logged = pool_logged_[pool.name];
+  if (now - logged < kPoolLogInterval) return;
+  logged = now;
+  constexpr std::int64_t kMilli = 1000;
+  LogLine(LogLevel::kInfo, "pool_short")
+      .With("pool", pool.name)
+      .With("have", pool.state.have)
+      .With("coming", pool.state.coming)
+      .With("need", pool.state.need)
+      .With("running_cores", demand.running_cpu / kMilli)
+      .With("ready_cores", demand.ready_cpu / kMilli)
+      .With("arriving_cores", demand.arriving_cpu / kMilli);
+}
+
 void Fleet::PlanMoves(Scheduler& scheduler, std::vector<MachineOrder>& orders,
                       Millis now) {
   const Configuration& config = scheduler.configuration();
@@ -310,7 +343,8 @@
   }
   std::vector<Pool> pools = Pools(scheduler, now);
   std::sort(pools.begin(), pools.end(), [](const Pool& a, const Pool& b) {
-    return a.need - a.have - a.coming > b.need - b.have - b.coming;
+    return a.state.need - a.state.have - a.state.coming >
+           b.state.need - b.state.have - b.state.coming;
   });
   const auto idle_for = [&](const std::string& machine) {
     const Worker* worker =
@@ -324,7 +358,7 @@
     Give(state, {machine, state.machine.worker, pool, 0}, orders, now);
   };
   for (Pool& pool : pools) {
-    int missing = pool.need - pool.have - pool.coming;
+    int missing = pool.state.need - pool.state.have - pool.state.coming;
     while (missing > 0 && tokens_ >= 1) {
       if (!off.empty()) {
         move(off.back()->machine.name, pool.name);
@@ -335,16 +369,18 @@
       // The pool with the most to spare lends the machine idle for longest.
       Pool* lender = nullptr;
       for (Pool& it : pools) {
-        if (&it == &pool || it.idle.empty() || it.have <= it.need) continue;
+        if (&it == &pool || it.idle.empty() || it.state.have <= it.state.need)
+          continue;
         if (idle_for(it.idle.front()) < kIdleBeforeLent) continue;
-        if (!lender || it.have - it.need > lender->have - lender->need) {
+        if (!lender || it.state.have - it.state.need >
+                           lender->state.have - lender->state.need) {
           lender = &it;
         }
       }
       if (!lender) return;
       move(lender->idle.front(), pool.name);
       lender->idle.erase(lender->idle.begin());
-      --lender->have;
+      --lender->state.have;
       --missing;
     }
   }
@@ -354,13 +390,13 @@
       scheduler.demand_since().value_or(began_ + kDemandWait);
   for (Pool& pool : pools) {
     for (const std::string& machine : pool.idle) {
-      if (pool.have <= std::max(1, pool.need_soon)) break;
+      if (pool.state.have <= std::max(1, pool.need_soon)) break;
       if (tokens_ < 1) return;
       if (machines_.at(machine).ordered) continue;
       const Millis useless = std::min(idle_for(machine), now - demand_since);
       if (useless < kIdleBeforeOff) continue;
       move(machine, headroom);
-      --pool.have;
+      --pool.state.have;
     }
   }
 }
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -34,6 +34,15 @@
   kUnknown,  ///< It may have been done, or may be done later.
 };
 
+std::string_view ToText(MachineAnswer answer);
+
+/// What a pool has and needs, in machines.
+struct PoolState {
+  int have = 0;    ///< Up, and not being emptied.
+  int coming = 0;  ///< Under way to it.
+  int need = 0;
+};
+
 class Fleet {
  public:
   explicit Fleet(FleetSettings settings) : settings_(settings) {}
@@ -52,6 +61,10 @@
   /// Whether a listing is worth asking for now.
   [[nodiscard]] bool WantsListing(Millis now) const;
   void NoteListing(Millis now) { listed_at_ = now; }
+  /// As of the newest plan, by pool.
+  [[nodiscard]] const std::map<std::string, PoolState>& pool_states() const {
+    return pool_states_;
+  }
 
  private:
   struct State {
@@ -67,9 +80,7 @@
     std::string name;
     std::int64_t machine_cpu = 0;
     std::int64_t machine_memory = 0;
-    int have = 0;    ///< Up, and not being emptied.
-    int coming = 0;  ///< Under way to it.
-    int need = 0;
+    PoolState state;
     int need_soon = 0;
     std::vector<std::string> idle;  ///< Machines, longest idle first.
   };
@@ -81,6 +92,7 @@
   std::vector<Pool> Pools(Scheduler& scheduler, Millis now);
   void Give(State& state, MachineOrder order, std::vector<MachineOrder>& orders,
             Millis now);
+  void NotePool(const Pool& pool, const PoolDemand& demand, Millis now);
   [[nodiscard]] bool HasBegun(int wave, const std::string& machine) const;
   [[nodiscard]] bool IsFree(const State& state) const;
 
@@ -90,6 +102,8 @@
   Millis listed_at_{-1'000'000};
   std::map<std::string, State> machines_;
   std::map<int, std::set<std::string>> begun_;
+  std::map<std::string, PoolState> pool_states_;
+  std::map<std::string, Millis> pool_logged_;
   double tokens_ = 0;
   Millis tokens_at_{0};
 };
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -58,4 +58,28 @@
   return id;
 }
 
+std::string_view ToText(StartAnswer answer) {
+  switch (answer) {
+    case StartAnswer::kStarted:
+      return "started";
+    case StartAnswer::kFenced:
+      return "fenced";
+    case StartAnswer::kStale:
+      return "stale";
+    case StartAnswer::kLate:
+      return "late";
+    case StartAnswer::kNoRoom:
+      return "no_room";
+    case StartAnswer::kNoTicket:
+      return "no_ticket";
+    case StartAnswer::kRefused:
+      return "refused";
+    case StartAnswer::kOtherLife:
+      return "other_life";
+    case StartAnswer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 }  // namespace hemlockward::jobs
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -172,4 +172,6 @@
   kUnknown,    ///< No answer: it may run, now or later.
 };
 
+std::string_view ToText(StartAnswer answer);
+
 }  // namespace hemlockward::jobs
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -251,12 +251,14 @@
   const Millis now = clock_.Now();
   metrics_.Observe("hemlockward_start_ms", "",
                    static_cast<double>((now - sent).count));
+  metrics_.Count("hemlockward_starts_total",
+                 "answer=\"" + std::string(jobs::ToText(answer)) + "\"");
   LogLine(LogLevel::kInfo, "run_started")
       .With("task", order.task.ToText())
       .With("run", order.run)
       .With("worker", order.worker)
       .With("fence", fence_)
-      .With("answer", static_cast<int>(answer))
+      .With("answer", jobs::ToText(answer))
       .With("reason", reply.reason)
       .With("ms", (now - sent).count);
   if (!Leads(term)) co_return;
@@ -370,6 +372,9 @@
                  ? MachineAnswer::kUnknown
                  : MachineAnswer::kBusy;
   }
+  metrics_.Count("hemlockward_machine_orders_total",
+                 std::string("kind=\"") + (order.wave > 0 ? "upkeep" : "move") +
+                     "\",answer=\"" + std::string(ToText(answer)) + "\"");
   fleet_.OnAnswer(order, answer, scheduler_, clock_.Now());
   commit_signal_.Notify();
   Kick();
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -314,6 +314,7 @@
   scheduler_.SetConfiguration(config_);
   fleet_.BeginTerm(machines_from, took_over_);
   wave_states_.clear();
+  metrics_.Count("hemlockward_takeovers_total");
   LogLine(LogLevel::kInfo, "lease_taken")
       .With("term", term)
       .With("fence", fence_)
@@ -490,6 +491,8 @@
       co_return CommitEnd::kDone;
     }
     const platform::CallError& error = result.error();
+    metrics_.Count("hemlockward_commit_failures_total",
+                   "failure=\"" + std::string(ToText(error.failure)) + "\"");
     if (error.failure == CallFailure::kConflict) {
       // Either an earlier send was done, or the lease is another's.
       commit_timeout_.OnAnswer(took);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -26,6 +26,9 @@
 /// have failed.
 constexpr Millis kDrain{2500};
 constexpr Millis kStopMargin{700};
+/// Statuses from here on tell the client to try again, or that it isn't known
+/// what became of its request.
+constexpr int kRefusedFrom = 429;
 
 kernel::HttpLimits FrontLimits() {
   kernel::HttpLimits limits;
@@ -79,6 +82,7 @@
 
 Awaitable<HttpResponse> NodeProcess::ServeReadiness(HttpRequest request) {
   if (request.Path() == "/metrics") {
+    SetGauges();
     HttpResponse response;
     response.body = metrics_.ToPrometheus();
     response.With("Content-Type", "text/plain; version=0.0.4");
@@ -89,6 +93,26 @@
       ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})");
 }
 
+void NodeProcess::SetGauges() {
+  const auto set = [this](std::string_view name, auto value) {
+    metrics_.Set(name, "", static_cast<double>(value));
+  };
+  set("hemlockward_leads", leads_ ? 1 : 0);
+  set("hemlockward_term", term_);
+  set("hemlockward_renewal_age_ms",
+      leads_ ? (clock_.Now() - renewed_).count : 0);
+  set("hemlockward_configuration_version", config_.version);
+  set("hemlockward_jobs", scheduler_.job_count());
+  set("hemlockward_runs", scheduler_.run_count());
+  set("hemlockward_workers", scheduler_.workers().size());
+  for (const auto& [name, pool] : fleet_.pool_states()) {
+    const std::string label = "pool=\"" + name + "\"";
+    metrics_.Set("hemlockward_pool_machines", label, pool.have);
+    metrics_.Set("hemlockward_pool_machines_coming", label, pool.coming);
+    metrics_.Set("hemlockward_pool_machines_needed", label, pool.need);
+  }
+}
+
 Awaitable<HttpResponse> NodeProcess::ServeClient(HttpRequest request) {
   const Millis begin = clock_.Now();
   Call call;
@@ -103,12 +127,24 @@
   if (ec == std::errc() && ms > 0) call.deadline = begin + Millis{ms};
   call.body = std::move(request.body);
   const std::string method = call.method;
+  const std::string path = call.path;
   Reply reply = co_await Route(std::move(call));
   metrics_.Count("hemlockward_requests_total",
                  "method=\"" + method + "\",status=\"" +
                      std::to_string(reply.status) + "\"");
   metrics_.Observe("hemlockward_request_ms", "method=\"" + method + "\"",
                    static_cast<double>((clock_.Now() - begin).count));
+  if (reply.status >= kRefusedFrom) {
+    LogLine(LogLevel::kInfo, "request_refused")
+        .With("path", path)
+        .With("method", method)
+        .With("status", reply.status)
+        .With("reason", reply.body)
+        .With("retry_after_s", reply.retry_after_s)
+        .With("leads", leads_)
+        .With("term", lease_.lease ? lease_.lease->term : 0)
+        .With("after_ms", (clock_.Now() - begin).count);
+  }
   HttpResponse response =
       kernel::JsonResponse(reply.status, std::move(reply.body));
   if (reply.retry_after_s > 0) {
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -102,6 +102,7 @@
   Awaitable<bool> ReadOperator();
   void ApplyOperatorRow(const platform::StoreRow& row);
   Awaitable<void> Stop();
+  void SetGauges();
   Awaitable<kernel::HttpResponse> ServeReadiness(kernel::HttpRequest request);
   Awaitable<kernel::HttpResponse> ServeClient(kernel::HttpRequest request);
   Awaitable<peer::gen::Message> ServePeer(peer::gen::Message message);
