Machine orders are stored before they are sent, so that the next leader knows them

The distance is needed for one machine only. Ruled out: telling recent orders from the listing: a machine sent off 2 s ago looks like one that has been off for long. Change: one row (`orders/recent`) names every machine that has an order or had one within the turn; it is committed under the lease before an order is sent, and an order is dropped when the lease wasn't renewed within a second. The next leader spares just these machines, and counts them as down for a wave's cap.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -28,6 +28,8 @@
 constexpr Millis kDemandWait = base::Seconds(30);
 // An order without an answer is repeated after this; doing it twice is safe.
 constexpr Millis kRepeatOrder{1000};
+// An order may be sent this much later than it was planned.
+constexpr Millis kOrderSlack{1500};
 constexpr Millis kPoolLogInterval = base::Seconds(1);
 constexpr Millis kListingInterval{500};
 constexpr Millis kListingIntervalIdle{1500};
@@ -63,6 +65,7 @@
   began_ = now;
   machines_.clear();
   begun_.clear();
+  recent_.clear();
   listed_at_ = {-1'000'000};
 }
 
@@ -84,8 +87,32 @@
   return it != begun_.end() && it->second.contains(machine);
 }
 
-bool Fleet::IsFree(const State& state) const {
-  return !state.ordered && state.machine.state == MachineState::kUp;
+bool Fleet::IsFree(const State& state, Millis now) const {
+  return !state.ordered && state.machine.state == MachineState::kUp &&
+         !IsBlocked(state.machine.name, now);
+}
+
+void Fleet::LoadRecent(std::string_view value) {
+  boost::system::error_code ec;
+  const json::value list = json::parse(value, ec);
+  if (ec || !list.is_array()) {
+    LogLine(LogLevel::kError, "order_row_unreadable").With("row", value);
+    return;
+  }
+  for (const json::value& it : list.get_array()) {
+    if (it.is_string()) recent_.emplace(std::string_view(it.get_string()));
+  }
+}
+
+RowWrite Fleet::RecentOrders(Millis now) const {
+  json::array list;
+  for (const auto& [name, state] : machines_) {
+    const bool recent = state.ordered_at.count >= 0 &&
+                        now - state.ordered_at < settings_.turn + kOrderSlack;
+    if (state.ordered || recent || IsBlocked(name, now))
+      list.emplace_back(name);
+  }
+  return {kOrderTable, kOrderKey, json::serialize(list)};
 }
 
 bool Fleet::WantsListing(Millis now) const {
@@ -173,7 +200,7 @@
 std::vector<MachineOrder> Fleet::Plan(const std::map<int, WaveOrder>& waves,
                                       Scheduler& scheduler, Millis now) {
   std::vector<MachineOrder> orders;
-  if (now < orders_from_ || machines_.empty()) return orders;
+  if (machines_.empty()) return orders;
   const double gained = static_cast<double>((now - tokens_at_).count) / 1000 *
                         settings_.orders_per_s * kRateShare;
   tokens_ = std::min(settings_.orders_per_s * kBurstSeconds, tokens_ + gained);
@@ -201,11 +228,12 @@
       State& state = it->second;
       // Also those that an earlier leader took down.
       const bool in_upkeep = state.machine.state == MachineState::kUpkeep;
-      if (state.upkeep_of == number || in_upkeep) ++down;
+      const bool blocked = IsBlocked(name, now);
+      if (state.upkeep_of == number || in_upkeep || blocked) ++down;
       if (HasBegun(number, name)) continue;
       Worker* worker = scheduler.FindWorker(state.machine.worker);
       if (worker) worker->awaits_upkeep = true;
-      if (!IsFree(state)) continue;
+      if (!IsFree(state, now)) continue;
       // Machines that are off first, then those with the least at work.
       std::int64_t cost = 0;
       if (worker) cost = 1 + worker->used.cpu_milli;
@@ -252,7 +280,7 @@
       ++pool.state.coming;
       continue;
     }
-    if (!IsFree(state)) continue;
+    if (!IsFree(state, now)) continue;
     Worker* worker = scheduler.FindWorker(state.machine.worker);
     if (!worker) {
       ++pool.state.coming;
@@ -337,7 +365,7 @@
     if (service.headroom) headroom = name;
   }
   for (auto& [name, state] : machines_) {
-    if (IsFree(state) && IsHeadroom(config, state.machine.pool)) {
+    if (IsFree(state, now) && IsHeadroom(config, state.machine.pool)) {
       off.push_back(&state);
     }
   }
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -19,6 +19,8 @@
   double move_s = 1.5;
   double upkeep_s = 2;
   double orders_per_s = 64;  ///< What the platform accepts from all nodes.
+  /// Least time between two holders' orders for one machine.
+  Millis turn{3000};
 };
 
 struct MachineOrder {
@@ -47,9 +49,14 @@
  public:
   explicit Fleet(FleetSettings settings) : settings_(settings) {}
 
-  /// No order is given before `orders_from`: the last holder's may be recent.
+  /// Machines for which the last holder may have given orders lately get none
+  /// before `orders_from`.
   void BeginTerm(Millis orders_from, Millis now);
   void LoadWave(std::string_view key, std::string_view value);
+  /// The row of the last holder's recent orders.
+  void LoadRecent(std::string_view value);
+  /// The row that must be in the store before the newest orders are sent.
+  [[nodiscard]] RowWrite RecentOrders(Millis now) const;
   /// A whole listing, asked for at `sent`.
   void OnMachines(const std::vector<Machine>& machines, Millis sent);
   std::vector<MachineOrder> Plan(const std::map<int, WaveOrder>& waves,
@@ -94,7 +101,11 @@
             Millis now);
   void NotePool(const Pool& pool, const PoolDemand& demand, Millis now);
   [[nodiscard]] bool HasBegun(int wave, const std::string& machine) const;
-  [[nodiscard]] bool IsFree(const State& state) const;
+  /// The last holder's order for the machine may be recent.
+  [[nodiscard]] bool IsBlocked(const std::string& machine, Millis now) const {
+    return now < orders_from_ && recent_.contains(machine);
+  }
+  [[nodiscard]] bool IsFree(const State& state, Millis now) const;
 
   FleetSettings settings_;
   Millis orders_from_{0};
@@ -102,6 +113,7 @@
   Millis listed_at_{-1'000'000};
   std::map<std::string, State> machines_;
   std::map<int, std::set<std::string>> begun_;
+  std::set<std::string> recent_;  ///< Ordered by the last holder, as stored.
   std::map<std::string, PoolState> pool_states_;
   std::map<std::string, Millis> pool_logged_;
   double tokens_ = 0;
--- a/src/jobs/rows.h
+++ b/src/jobs/rows.h
@@ -19,6 +19,11 @@
 /// Machines that have begun their upkeep, by wave.
 inline constexpr const char* kWaveTable = "waves";
 
+/// Machines that the leader has lately given orders for, or is about to: one
+/// row, written before the orders are sent.
+inline constexpr const char* kOrderTable = "orders";
+inline constexpr const char* kOrderKey = "recent";
+
 struct JobRow {
   std::string queue;
   std::string service;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -254,6 +254,15 @@
   return it == workers_.end() ? nullptr : &it->second;
 }
 
+std::uint64_t Scheduler::WriteRow(RowWrite row) {
+  std::erase_if(rows_, [&row](const RowWrite& it) {
+    return it.table == row.table && it.key == row.key;
+  });
+  row.number = ++rows_written_;
+  rows_.push_back(std::move(row));
+  return rows_written_;
+}
+
 bool Scheduler::HasChanges() const {
   if (!dirty_.empty() || !rows_.empty()) return true;
   return std::any_of(workers_.begin(), workers_.end(), [](const auto& it) {
@@ -325,6 +334,9 @@
     Worker* worker = FindWorker(id);
     if (worker && !worker->ended) worker->stored = true;
   }
+  for (const RowWrite& it : batch.rows) {
+    rows_committed_ = std::max(rows_committed_, it.number);
+  }
 }
 
 void Scheduler::OnCommitFailed(const Batch& batch) {
@@ -334,10 +346,17 @@
     it->second->sent = false;
     dirty_.insert(it->second.get());
   }
+  // Before what was written since, so that numbers stay in order.
+  std::vector<RowWrite> again;
   for (const RowWrite& it : batch.rows) {
     const bool rebuilt = it.table == kJobTable || it.table == kProgressTable;
-    if (it.remove || !rebuilt) rows_.push_back(it);
+    const bool newer =
+        std::any_of(rows_.begin(), rows_.end(), [&it](const RowWrite& other) {
+          return other.table == it.table && other.key == it.key;
+        });
+    if ((it.remove || !rebuilt) && !newer) again.push_back(it);
   }
+  rows_.insert(rows_.begin(), again.begin(), again.end());
 }
 
 bool Scheduler::LoadJob(
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -182,6 +182,7 @@
   std::string key;
   std::string value;
   bool remove = false;
+  std::uint64_t number = 0;  ///< Of the fleet's rows, in order of writing.
 };
 
 /// What one transaction writes, and what is true once it is committed.
@@ -244,8 +245,11 @@
   /// The end of a lease given now, on the worker's clock; 0: clock unknown.
   [[nodiscard]] std::int64_t LeaseEnd(const Worker& worker, Millis now) const;
 
-  /// Adds a row of the fleet's to the next batch.
-  void WriteRow(RowWrite row) { rows_.push_back(std::move(row)); }
+  /// Adds a row of the fleet's to the next batch, in place of an older one that
+  /// waits there, and returns its number.
+  std::uint64_t WriteRow(RowWrite row);
+  /// The fleet's rows up to this number are in the store.
+  [[nodiscard]] std::uint64_t rows_committed() const { return rows_committed_; }
   [[nodiscard]] Millis unheard_by() const { return unheard_by_; }
   /// When the first job that ends was handed in; unset before.
   [[nodiscard]] std::optional<Millis> demand_since() const {
@@ -331,6 +335,8 @@
   std::set<Job*> open_;         ///< Jobs that aren't over.
   std::set<Job*> dirty_;        ///< Jobs whose rows are to be written.
   std::vector<RowWrite> rows_;  ///< To be written beside the jobs'.
+  std::uint64_t rows_written_ = 0;
+  std::uint64_t rows_committed_ = 0;
   std::map<std::string, Worker, std::less<>> workers_;
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;  ///< By step, then worker.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -342,7 +342,18 @@
       }
     }
     if (!MayOrderMachines()) continue;
-    for (auto& it : fleet_.Plan(waves_, scheduler_, clock_.Now())) {
+    auto orders = fleet_.Plan(waves_, scheduler_, clock_.Now());
+    if (!orders.empty()) {
+      // The next leader must know of them before they are sent.
+      const std::uint64_t row =
+          scheduler_.WriteRow(fleet_.RecentOrders(clock_.Now()));
+      commit_signal_.Notify();
+      while (Leads(term) && scheduler_.rows_committed() < row) {
+        co_await stored_signal_.Wait(kCommitWait);
+      }
+      if (!Leads(term)) co_return;
+    }
+    for (auto& it : orders) {
       pool_.Spawn("machine", ExecuteMachine(term, std::move(it)));
     }
     co_await WriteWaveStates(term);
@@ -354,6 +365,14 @@
   using jobs::MachineAnswer;
   const platform::Authority authority{settings_.name, fence_};
   tl::expected<bool, platform::CallError> done;
+  if (!MayOrderMachines()) {
+    if (!Leads(term)) co_return;
+    LogLine(LogLevel::kInfo, "machine_order_not_sent")
+        .With("machine", order.machine)
+        .With("renewed_ms_ago", (clock_.Now() - renewed_).count);
+    fleet_.OnAnswer(order, MachineAnswer::kBusy, scheduler_, clock_.Now());
+    co_return;
+  }
   machine_ordered_ = clock_.Now();
   if (order.wave > 0) {
     done = co_await platform_.Upkeep(authority, order.machine, order.wave,
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -355,6 +355,8 @@
         read = scheduler_.LoadProgress(it.key, it.value, now);
       } else if (table == jobs::kWorkerTable) {
         scheduler_.LoadWorker(it.key, it.value, now);
+      } else if (table == jobs::kOrderTable) {
+        fleet_.LoadRecent(it.value);
       } else {
         fleet_.LoadWave(it.key, it.value);
       }
@@ -373,8 +375,9 @@
 // Reads everything that lasts. A second try starts anew.
 Awaitable<bool> NodeProcess::Load(std::uint64_t term) {
   scheduler_.BeginTerm(term, scheduler_.unheard_by());
-  for (const char* it : {jobs::kJobTable, jobs::kProgressTable,
-                         jobs::kWorkerTable, jobs::kWaveTable}) {
+  for (const char* it :
+       {jobs::kJobTable, jobs::kProgressTable, jobs::kWorkerTable,
+        jobs::kWaveTable, jobs::kOrderTable}) {
     if (!co_await LoadTable(term, it)) co_return false;
   }
   co_return Leads(term);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -55,7 +55,7 @@
       stored_signal_(pool.context()),
       scheduler_({settings_.worker_lease}),
       fleet_({settings_.move_s, settings_.upkeep_s,
-              settings_.machine_orders_per_s}),
+              settings_.machine_orders_per_s, settings_.machine_turn}),
       plan_signal_(pool.context()) {
   readiness_ = std::make_unique<kernel::HttpServer>(
       pool_, settings_.readiness, kernel::HttpLimits{},
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -448,6 +448,21 @@
   EXPECT_TRUE(batch.ends.empty());
 }
 
+TEST_F(SchedulerTest, ARowCountsAsCommittedOnlyOnceItIs) {
+  const std::uint64_t first = scheduler_.WriteRow({"orders", "recent", "a"});
+  Batch batch = scheduler_.TakeBatch();
+  const std::uint64_t second = scheduler_.WriteRow({"orders", "recent", "b"});
+  EXPECT_LT(scheduler_.rows_committed(), first);
+  scheduler_.OnCommitFailed(batch);
+  batch = scheduler_.TakeBatch();
+  // One transaction writes a row once.
+  ASSERT_EQ(batch.rows.size(), 1U);
+  EXPECT_EQ(batch.rows[0].value, "b");
+  EXPECT_LT(scheduler_.rows_committed(), first);
+  scheduler_.OnCommitted(batch);
+  EXPECT_EQ(scheduler_.rows_committed(), second);
+}
+
 TEST_F(SchedulerTest, RowsRestoreAJob) {
   AddWorker("w1");
   JobSpec spec;
