--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -66,6 +66,7 @@
   machines_.clear();
   begun_.clear();
   recent_.clear();
+  recent_unknown_ = false;
   listed_at_ = {-1'000'000};
 }
 
@@ -97,6 +98,7 @@
   const json::value list = json::parse(value, ec);
   if (ec || !list.is_array()) {
     LogLine(LogLevel::kError, "order_row_unreadable").With("row", value);
+    recent_unknown_ = true;
     return;
   }
   for (const json::value& it : list.get_array()) {
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -103,7 +103,7 @@
   [[nodiscard]] bool HasBegun(int wave, const std::string& machine) const;
   /// The last holder's order for the machine may be recent.
   [[nodiscard]] bool IsBlocked(const std::string& machine, Millis now) const {
-    return now < orders_from_ && recent_.contains(machine);
+    return now < orders_from_ && (recent_unknown_ || recent_.contains(machine));
   }
   [[nodiscard]] bool IsFree(const State& state, Millis now) const;
 
@@ -114,6 +114,7 @@
   std::map<std::string, State> machines_;
   std::map<int, std::set<std::string>> begun_;
   std::set<std::string> recent_;  ///< Ordered by the last holder, as stored.
+  bool recent_unknown_ = false;   ///< The row couldn't be read: it may be any.
   std::map<std::string, PoolState> pool_states_;
   std::map<std::string, Millis> pool_logged_;
   double tokens_ = 0;
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -105,6 +105,7 @@
   set("hemlockward_jobs", scheduler_.job_count());
   set("hemlockward_runs", scheduler_.run_count());
   set("hemlockward_workers", scheduler_.workers().size());
+  if (!leads_) return;
   for (const auto& [name, pool] : fleet_.pool_states()) {
     const std::string label = "pool=\"" + name + "\"";
     metrics_.Set("hemlockward_pool_machines", label, pool.have);
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -148,6 +148,16 @@
   EXPECT_EQ(later[0].machine, "m1");
 }
 
+TEST_F(FleetTest, AnUnreadableRowOfOrdersHoldsAllMachines) {
+  for (const char* it : {"m1", "m2"}) AddMachine(it, "off");
+  fleet_.BeginTerm(now_ + Millis{3000}, now_);
+  fleet_.LoadRecent("{");
+  List();
+  Submit("busy", 4);
+  EXPECT_TRUE(Plan({2900}).empty());
+  EXPECT_FALSE(Plan({200}).empty());
+}
+
 TEST_F(FleetTest, UnsettledOrdersOfTheLastHolderCountTowardsAWavesCap) {
   for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "off");
   fleet_.BeginTerm(now_ + Millis{3000}, now_);
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -295,6 +295,20 @@
   EXPECT_EQ(start("second", lasting), "w1");
 }
 
+TEST_F(SchedulerTest, NothingStartsOnADrainingWorker) {
+  AddWorker("w", 4000);
+  WorkerEntry entry = scheduler_.FindWorker("w")->entry;
+  entry.draining = true;
+  scheduler_.UpsertWorker(entry, now_);
+  JobSpec spec;
+  spec.steps.push_back(Step(1, 1000));
+  Submit("job", spec);
+  EXPECT_TRUE(Plan().starts.empty());
+  entry.draining = false;
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 TEST_F(SchedulerTest, RunsOnASilentWorkerEndWithItsLease) {
   AddWorker("w1");
   JobSpec spec;
