A holder that answers ends the wait for a free lease

Cause: last reading of the diff: a node that had waited its turn for a free lease, and heard of the new holder from a peer, kept the old time; at the next takeover its turn had passed at once, and the order of the candidates didn't hold for it. Ruled out: wrong leaders: the store's conditions decide; the cost is needless transactions when a store is slow.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -146,6 +146,7 @@
     co_return false;
   }
   holder_gone_ = false;
+  free_since_ = std::nullopt;
   holder_stalls_ = heard_.renewal_age_ms >= kRenewalLate.count;
   if (!holder_stalls_) beat_watch_.OnHeard(heard_.beat_version, clock_.Now());
   co_return !holder_stalls_;
