No upkeep of machines whose worker a new leader hasn't heard

Moves asked for an adopted worker, waves didn't. Ruled out: the cap and `may_miss` (both counted rightly for known runs); orders of the last holder (the machine was not among them). Change: a wave leaves out a worker from an earlier term until it has reported or its lease has run out. Tests, failed first: UpkeepWaitsForWorkersThatANewLeaderHasNotHeard, UpkeepTakesWorkersWhoseLeaseHasRunOutUnheard.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -236,6 +236,11 @@
       Worker* worker = scheduler.FindWorker(state.machine.worker);
       if (worker) worker->awaits_upkeep = true;
       if (!IsFree(state, now)) continue;
+      // What an earlier leader started there isn't known before its first
+      // report, nor surely ended before its lease is.
+      const bool unheard =
+          worker && !worker->adopted && now <= worker->lease_by;
+      if (unheard) continue;
       // Machines that are off first, then those with the least at work.
       std::int64_t cost = 0;
       if (worker) cost = 1 + worker->used.cpu_milli;
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "jobs/fleet.h"
+#include "jobs/rows.h"
 
 namespace hemlockward::jobs {
 namespace {
@@ -168,6 +169,38 @@
   EXPECT_EQ(Plan({2100}).size(), 1U);
 }
 
+TEST_F(FleetTest, UpkeepWaitsForWorkersThatANewLeaderHasNotHeard) {
+  AddMachine("m1", "busy");
+  const std::string row =
+      EncodeWorkerRow(*scheduler_.FindWorker(machines_[0].worker));
+  const Millis unheard_by = now_ + Millis{6000};
+  scheduler_.BeginTerm(1, unheard_by);
+  scheduler_.LoadWorker(machines_[0].worker, row, now_);
+  fleet_.BeginTerm(now_, now_);
+  List();
+  waves_[1] = {1, {"m1"}, Millis{20'000}, 1};
+  // What runs there isn't known yet.
+  EXPECT_TRUE(Plan({1000}).empty());
+  WorkerReport report;
+  report.clock_ms = 1;
+  report.born = 1;
+  scheduler_.OnReport(machines_[0].worker, report, now_, now_);
+  EXPECT_EQ(Plan({10}).size(), 1U);
+}
+
+TEST_F(FleetTest, UpkeepTakesWorkersWhoseLeaseHasRunOutUnheard) {
+  AddMachine("m1", "busy");
+  const std::string row =
+      EncodeWorkerRow(*scheduler_.FindWorker(machines_[0].worker));
+  scheduler_.BeginTerm(1, now_ + Millis{6000});
+  scheduler_.LoadWorker(machines_[0].worker, row, now_);
+  fleet_.BeginTerm(now_, now_);
+  List();
+  waves_[1] = {1, {"m1"}, Millis{20'000}, 1};
+  EXPECT_TRUE(Plan({5900}).empty());
+  EXPECT_EQ(Plan({200}).size(), 1U);
+}
+
 TEST_F(FleetTest, RecentOrdersAreNamedBeforeTheyAreSent) {
   for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "off");
   List();
