Ties between jobs go by id, not by address

Ruled out: differing random numbers (the same invocation gives the same lines each time). Test: EqualJobsGoByIdWhereverTheyLieInMemory, failed first.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -340,9 +340,11 @@
     const Queue* queue = QueueOf(*it);
     order.emplace_back(UrgencyOf(*it, *queue, settings_.order, now), it);
   }
-  std::stable_sort(
-      order.begin(), order.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
+  // Ties go by id, so that a day plays the same wherever jobs lie in memory.
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    if (a.first < b.first || b.first < a.first) return a.first < b.first;
+    return a.second->id < b.second->id;
+  });
   for (auto& [urgency, job] : order) {
     PlanJob(*job, *QueueOf(*job), pool, orders, now, wall);
   }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -309,9 +309,10 @@
   std::vector<std::pair<int, Job*>> order;
   order.reserve(dirty_.size());
   for (Job* it : dirty_) order.emplace_back(CommitRank(*it), it);
-  std::stable_sort(
-      order.begin(), order.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    if (a.first != b.first) return a.first < b.first;
+    return a.second->id < b.second->id;
+  });
   for (const auto& [rank, it] : order) {
     if (batch.rows.size() + kRowsPerJob > kMostRows) break;
     Job& job = *it;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -241,6 +241,18 @@
   EXPECT_EQ(orders.starts[0].task.job, "small");
 }
 
+TEST_F(SchedulerTest, EqualJobsGoByIdWhereverTheyLieInMemory) {
+  AddWorker("w", 4000);
+  for (const char* it : {"c", "a", "d", "b"}) {
+    Submit(it, OneStep(Step(1, 1000)));
+  }
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 4U);
+  for (std::size_t i = 0; i < 4; ++i) {
+    EXPECT_EQ(orders.starts[i].task.job, std::string(1, "abcd"[i]));
+  }
+}
+
 TEST_F(SchedulerTest, LateJobsGiveWayToThoseThatCanBeInTime) {
   AddWorker("w", 4000);
   JobSpec small;
