Small nodes leave the lease to larger ones, also at the first start

Now a small node that has just started and knows no larger peer waits 1.5 s longer, and a small leader hands over to a larger node that has asked it lately, once in 20 s at most. The two rules are pure functions with tests (node_lease_test).

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -35,6 +35,9 @@
 constexpr Millis kRenewalLate{1000};
 /// A peer that wasn't heard of for so long isn't passed on.
 constexpr Millis kPeerForgotten = base::Seconds(30);
+/// Followers ask the leader every `kCheckInterval`: one that did so within this
+/// time is alive.
+constexpr Millis kAskedLately = base::Seconds(1);
 /// Spreads the candidates, so that one transaction usually decides.
 constexpr std::int64_t kMostJitterMs = 60;
 /// Nodes with less let the others lead: a leader sends each task's payload, up
@@ -52,11 +55,20 @@
 
 Awaitable<void> NodeProcess::WatchLease() {
   while (!stopping_) {
-    if (leads_) {
-      co_await kernel::Sleep(kCheckInterval);
+    if (!leads_) {
+      co_await WatchOnce();
       continue;
     }
-    co_await WatchOnce();
+    co_await kernel::Sleep(kCheckInterval);
+    if (!leads_ || !loaded_ || stopping_) continue;
+    const Millis now = clock_.Now();
+    std::optional<Millis> since_last;
+    if (handed_over_) since_last = now - *handed_over_;
+    const Candidate self{settings_.peer, IsSmall()};
+    const auto peers = Candidates(kAskedLately);
+    if (!IsHandOverDue(self, peers, now - took_over_, since_last)) continue;
+    handed_over_ = now;
+    co_await HandOver("a larger node is there", now + kCommitTimeout);
   }
 }
 
@@ -96,15 +108,20 @@
   beat_watch_.OnRead(view, now);
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
-  const int rank = Rank();
+  const Candidate self{settings_.peer, IsSmall()};
+  const auto peers = Candidates(kPeerForgotten);
+  const int rank =
+      TakeoverRank(self, peers, lease_.lease ? lease_.lease->term : 0);
+  const Millis wait =
+      TakeoverWait(rank, ExpectsLargerPeers(self, peers, now - started_));
   const bool silent =
-      beat_watch_.IsSilent(now, TakeoverSilence(holder_stalls_, reading, rank));
+      beat_watch_.IsSilent(now, TakeoverSilence(holder_stalls_, reading, wait));
   if (!free && !holder_gone_) {
     free_since_ = std::nullopt;
   } else if (!free_since_) {
     free_since_ = now;
   }
-  const bool turn = free_since_ && now - *free_since_ >= kRankStep * rank;
+  const bool turn = free_since_ && now - *free_since_ >= wait;
   const bool candidate = config_.version > 0 && !stopping_;
   if (candidate && (turn || silent)) {
     LogLine(LogLevel::kInfo, "lease_is_free")
@@ -116,15 +133,15 @@
         .With("beat_seen_ms_ago", (now - beat_watch_.renewed_before()).count);
     // Machines are often restarted in turn: one that has been is the safer
     // leader.
-    std::int64_t wait = static_cast<std::int64_t>(random_() % kMostJitterMs);
-    if (now - started_ > kLongUp) wait += kMostJitterMs;
-    co_await kernel::Sleep({wait});
+    auto jitter = static_cast<std::int64_t>(random_() % kMostJitterMs);
+    if (now - started_ > kLongUp) jitter += kMostJitterMs;
+    co_await kernel::Sleep({jitter});
     co_await TakeLease(view, page->store_ms);
     co_return;
   }
   Millis pause{kReadInterval.count +
                kReadInterval.count * rank / kRanksPerPause};
-  if (free_since_ && candidate) pause = *free_since_ + kRankStep * rank - now;
+  if (free_since_ && candidate) pause = *free_since_ + wait - now;
   co_await kernel::Sleep(std::clamp(pause, kRetryPause, kLongestReadPause));
 }
 
@@ -214,14 +231,17 @@
   holder_gone_ = holder_stalls_ = holder_ended_ = false;
 }
 
-int NodeProcess::Rank() const {
+// Peers heard of within `lately`, but the last holder.
+std::vector<Candidate> NodeProcess::Candidates(Millis lately) const {
   std::vector<Candidate> peers;
+  const Millis now = clock_.Now();
   for (const auto& [address, peer] : peers_) {
     const bool holder = lease_.lease && lease_.lease->address == address;
-    if (!holder) peers.push_back({address, peer.small});
+    if (!holder && now - peer.heard < lately) {
+      peers.push_back({address, peer.small});
+    }
   }
-  return TakeoverRank({settings_.peer, IsSmall()}, peers,
-                      lease_.lease ? lease_.lease->term : 0);
+  return peers;
 }
 
 bool NodeProcess::IsSmall() const {
@@ -386,7 +406,7 @@
 }
 
 Awaitable<void> NodeProcess::CommitLoop(std::uint64_t term) {
-  while (Leads(term) && !stopping_) {
+  while (Leads(term) && !handing_over_) {
     const Millis now = clock_.Now();
     const Millis due = renewed_ + kRenewInterval - now;
     const Millis pause = commit_started_ + kCommitInterval - now;
@@ -529,9 +549,20 @@
   co_return CommitEnd::kLost;
 }
 
+// Commits what is left together with the end of the lease.
+Awaitable<void> NodeProcess::HandOver(std::string_view reason, Millis limit) {
+  const std::uint64_t term = term_;
+  handing_over_ = true;
+  while (committing_ && clock_.Now() < limit) {
+    co_await stored_signal_.Wait(kRetryPause);
+  }
+  if (Leads(term)) co_await CommitOnce(term, true);
+  if (Leads(term)) StepDown(reason);
+}
+
 void NodeProcess::StepDown(std::string_view reason) {
   if (!leads_) return;
-  leads_ = loaded_ = false;
+  leads_ = loaded_ = handing_over_ = false;
   LogLine(LogLevel::kWarning, "stepped_down")
       .With("term", term_)
       .With("reason", reason)
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -81,6 +81,15 @@
   return view;
 }
 
+namespace {
+
+bool HasLarger(std::span<const Candidate> peers) {
+  return std::any_of(peers.begin(), peers.end(),
+                     [](const Candidate& it) { return !it.small; });
+}
+
+}  // namespace
+
 int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
                  std::uint64_t term) {
   const auto place = [term](const Candidate& it) {
@@ -93,9 +102,24 @@
       }));
 }
 
-Millis TakeoverSilence(bool holder_stalls, Millis reading, int rank) {
+bool ExpectsLargerPeers(const Candidate& self, std::span<const Candidate> peers,
+                        Millis up) {
+  return self.small && up < kYoung && !HasLarger(peers);
+}
+
+Millis TakeoverWait(int rank, bool expects_larger) {
+  return kRankStep * rank + (expects_larger ? kSmallWait : Millis{0});
+}
+
+bool IsHandOverDue(const Candidate& self, std::span<const Candidate> peers,
+                   Millis led, std::optional<Millis> since_last) {
+  if (!self.small || led < kLeastLead || !HasLarger(peers)) return false;
+  return !since_last || *since_last >= kHandOverPause;
+}
+
+Millis TakeoverSilence(bool holder_stalls, Millis reading, Millis wait) {
   const Millis least = holder_stalls ? kStall : kSilence;
-  return std::max(least, reading * kSlowReadings) + kRankStep * rank;
+  return std::max(least, reading * kSlowReadings) + wait;
 }
 
 void BeatWatch::OnHeard(std::uint64_t version, Millis now) {
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -38,6 +38,19 @@
 /// isn't flooded by all of them: a free lease is taken within 10 ms at its
 /// usual speed.
 inline constexpr Millis kRankStep{100};
+/// A small node that has just started waits this much longer, as larger ones may
+/// be about to come: the nodes of a deployment start within 0.3 s of each other
+/// (DEPLOY.md), and a start takes 0.6 s.
+inline constexpr Millis kSmallWait{1500};
+/// For so long after its start a node may not have heard of its peers: they
+/// ask the leader every 0.3 s, and a leader is found within seconds.
+inline constexpr Millis kYoung = base::Seconds(5);
+/// A small leader keeps the lease this long before it hands it to a larger
+/// node: a takeover in the middle of another would cost more than it gains.
+inline constexpr Millis kLeastLead = base::Seconds(2);
+/// The least time between two of its hand-overs, in case the larger nodes can't
+/// reach the store: each costs up to a second without a leader.
+inline constexpr Millis kHandOverPause = base::Seconds(20);
 /// Silence shorter than this many readings at the store's present speed may
 /// only show that the store is slow.
 inline constexpr int kSlowReadings = 5;
@@ -84,9 +97,21 @@
 int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
                  std::uint64_t term);
 
-/// How long the holder's beat must stand still before the candidate of `rank`
-/// takes the lease, when a reading of the store takes `reading`.
-Millis TakeoverSilence(bool holder_stalls, Millis reading, int rank);
+/// True for a small node that started `up` ago and knows of no larger one.
+bool ExpectsLargerPeers(const Candidate& self, std::span<const Candidate> peers,
+                        Millis up);
+
+/// How long the candidate of `rank` leaves a free lease to others.
+Millis TakeoverWait(int rank, bool expects_larger);
+
+/// Whether a node that has led for `led` hands the lease over. `peers` are those
+/// that have asked it lately; its last hand-over was `since_last` ago.
+bool IsHandOverDue(const Candidate& self, std::span<const Candidate> peers,
+                   Millis led, std::optional<Millis> since_last);
+
+/// How long the holder's beat must stand still before a candidate that waits
+/// for `wait` takes the lease, when a reading of the store takes `reading`.
+Millis TakeoverSilence(bool holder_stalls, Millis reading, Millis wait);
 
 /// Watches the beat and says when its holder is silent.
 class BeatWatch {
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -293,13 +293,7 @@
 Awaitable<void> NodeProcess::Stop() {
   const Millis begin = clock_.Now();
   const Millis limit = stop_limit_;
-  if (leads_) {
-    while (committing_ && clock_.Now() < limit) {
-      co_await stored_signal_.Wait(kRetryPause);
-    }
-    if (leads_) co_await CommitOnce(term_, true);
-    StepDown("stopped");
-  }
+  if (leads_) co_await HandOver("stopped", limit);
   while (clock_.Now() < limit) {
     const bool drained = clock_.Now() - begin >= kDrain;
     if (drained && front_->requests_in_progress() == 0) break;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -125,7 +125,7 @@
       std::int64_t config_version);
   void Learn(const peer::gen::LeaderCheck& check);
   std::string RandomPeer();
-  [[nodiscard]] int Rank() const;
+  [[nodiscard]] std::vector<Candidate> Candidates(Millis lately) const;
   [[nodiscard]] bool IsSmall() const;
   Awaitable<void> TakeLease(const LeaseView& view, std::int64_t store_ms);
   /// The store's clock now, from its newest answer; 0: not known yet.
@@ -146,6 +146,7 @@
                                    std::shared_ptr<CommitFlight> flight);
   [[nodiscard]] platform::StoreTransaction ToTransaction(
       const jobs::Batch& batch, const std::string& beat, bool release) const;
+  Awaitable<void> HandOver(std::string_view reason, Millis limit);
   void StepDown(std::string_view reason);
   [[nodiscard]] bool Leads(std::uint64_t term) const {
     return leads_ && term_ == term;
@@ -208,6 +209,8 @@
   bool loaded_ = false;
   bool stopping_ = false;
   bool committing_ = false;
+  bool handing_over_ = false;  ///< The last commit of the term is due.
+  std::optional<Millis> handed_over_;  ///< To a larger node.
   std::uint64_t term_ = 0;
   std::uint64_t fence_ = 0;
   std::uint64_t beat_version_ = 0;
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -81,11 +81,38 @@
 }
 
 TEST(TakeoverTest, ASlowStoreIsNotASilentHolder) {
-  EXPECT_EQ(TakeoverSilence(true, Millis{4}, 0), kStall);
-  EXPECT_EQ(TakeoverSilence(false, Millis{4}, 0), kSilence);
-  EXPECT_GE(TakeoverSilence(true, Millis{400}, 0), Millis{2000});
-  EXPECT_GT(TakeoverSilence(true, Millis{4}, 20),
-            TakeoverSilence(true, Millis{4}, 1) + Millis{1000});
+  EXPECT_EQ(TakeoverSilence(true, Millis{4}, Millis{0}), kStall);
+  EXPECT_EQ(TakeoverSilence(false, Millis{4}, Millis{0}), kSilence);
+  EXPECT_GE(TakeoverSilence(true, Millis{400}, Millis{0}), Millis{2000});
+  EXPECT_GT(TakeoverSilence(true, Millis{4}, TakeoverWait(20, false)),
+            TakeoverSilence(true, Millis{4}, TakeoverWait(1, false)) +
+                Millis{1000});
+}
+
+TEST(TakeoverTest, ASmallNodeThatHasJustStartedWaitsForLargerOnes) {
+  const Candidate small{"10.0.0.1:1", true};
+  const Candidate large{"10.0.0.2:1"};
+  const std::vector<Candidate> with_large{small, large};
+  EXPECT_TRUE(ExpectsLargerPeers(small, {}, Millis{600}));
+  EXPECT_FALSE(ExpectsLargerPeers(large, {}, Millis{600}));
+  // Its rank says all once it knows larger ones, or has been up for long.
+  EXPECT_FALSE(ExpectsLargerPeers(small, with_large, Millis{600}));
+  EXPECT_FALSE(ExpectsLargerPeers(small, {}, kYoung));
+  EXPECT_EQ(TakeoverWait(0, false), Millis{0});
+  EXPECT_GE(TakeoverWait(0, true), Millis{1000});
+}
+
+TEST(TakeoverTest, ASmallLeaderHandsOverToALargerNode) {
+  const Candidate small{"10.0.0.1:1", true};
+  const Candidate large{"10.0.0.2:1"};
+  const std::vector<Candidate> both{small, large};
+  EXPECT_TRUE(IsHandOverDue(small, both, kLeastLead, std::nullopt));
+  EXPECT_FALSE(IsHandOverDue(large, both, kLeastLead, std::nullopt));
+  EXPECT_FALSE(IsHandOverDue(small, std::vector{small}, kLeastLead, {}));
+  EXPECT_FALSE(IsHandOverDue(small, both, Millis{500}, std::nullopt));
+  // Not again and again when the larger ones don't take it.
+  EXPECT_FALSE(IsHandOverDue(small, both, kLeastLead, base::Seconds(5)));
+  EXPECT_TRUE(IsHandOverDue(small, both, kLeastLead, kHandOverPause));
 }
 
 TEST(CommitTimeoutTest, FollowsTheStoresPaceAndBacksOff) {
