--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -1,6 +1,9 @@
 // The users' platform's bodies, decoded: examples and bad input.
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
 
 #include "platform/codec.h"
 
@@ -119,5 +122,47 @@
   EXPECT_FALSE(DecodeConfiguration(R"({"routes":[]})"));
 }
 
+// Calls every decoder that reads bytes of other processes.
+void DecodeAll(const std::string& body) {
+  static_cast<void>(DecodePage(body));
+  static_cast<void>(DecodeCommit(body));
+  static_cast<void>(DecodeConfiguration(body));
+  static_cast<void>(DecodeWorker("id", body));
+  static_cast<void>(DecodeWave(body));
+  static_cast<void>(DecodeJob(body));
+  static_cast<void>(DecodeReport(body));
+  static_cast<void>(DecodeOrderReply(body));
+  static_cast<void>(DecodeAdvice(body));
+  static_cast<void>(DecodeMachines(body));
+}
+
+TEST(CodecTest, RowsThatAreNoListsAreRefused) {
+  EXPECT_FALSE(DecodeReport(R"({"clock_ms":1,"active":[7]})"));
+  EXPECT_FALSE(DecodeReport(R"({"clock_ms":1,"ended_runs":[{"a":1}]})"));
+  EXPECT_FALSE(DecodeAdvice(R"({"good":["i-1"]})"));
+  EXPECT_FALSE(DecodeReport(R"({"clock_ms":1e300})"));
+}
+
+// Names of fields with values of any kind: a decoder answers, it never throws.
+TEST(CodecTest, NoBodyThrows) {
+  const bool holds = rc::check([] {
+    const auto any = rc::gen::element<std::string>(
+        "null", "7", "-1", "1e300", "true", "\"text\"", "[]", "{}", "[7]",
+        "[[1,2,3,4,5]]", "[[\"a.0.0.0\",1,\"\",2,3]]", "[{\"key\":\"k\"}]");
+    const auto name = rc::gen::element<std::string>(
+        "rows", "ver", "now_ms", "version", "routes", "services", "address",
+        "service", "zone", "state", "labels", "capacity", "born", "wave",
+        "machines", "task_spec", "steps", "clock_ms", "active", "ended_runs",
+        "reason", "good", "next_token", "more_pages", "cap", "duration_s");
+    std::string body = "{";
+    for (int i = *rc::gen::inRange(0, 6); i >= 0; --i) {
+      body += "\"" + *name + "\":" + *any + (i > 0 ? "," : "");
+    }
+    DecodeAll(body + "}");
+    DecodeAll(*rc::gen::arbitrary<std::string>());
+  });
+  EXPECT_TRUE(holds);
+}
+
 }  // namespace
 }  // namespace hemlockward::platform
