Machines are held back after a takeover by the time of their own last order

Tests: MachinesOrderedLongBeforeATakeover..., AHolderThatHasNotHeardOfItsLease...; both failed to compile before, as the row had no times.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -30,6 +30,9 @@
 constexpr Millis kRepeatOrder{1000};
 // An order may be sent this much later than it was planned.
 constexpr Millis kOrderSlack{1500};
+// The last holder's time of an order may be behind by one slow answer of the
+// store, at a sixtieth of its speed.
+constexpr Millis kClockSlack{600};
 constexpr Millis kPoolLogInterval = base::Seconds(1);
 constexpr Millis kListingInterval{500};
 constexpr Millis kListingIntervalIdle{1500};
@@ -93,28 +96,47 @@
          !IsBlocked(state.machine.name, now);
 }
 
-void Fleet::LoadRecent(std::string_view value) {
+void Fleet::LoadRecent(std::string_view value, Millis store_offset) {
   boost::system::error_code ec;
-  const json::value list = json::parse(value, ec);
-  if (ec || !list.is_array()) {
+  const json::value row = json::parse(value, ec);
+  if (ec || !row.is_object()) {
     LogLine(LogLevel::kError, "order_row_unreadable").With("row", value);
     recent_unknown_ = true;
     return;
   }
-  for (const json::value& it : list.get_array()) {
-    if (it.is_string()) recent_.emplace(std::string_view(it.get_string()));
+  for (const auto& it : row.get_object()) {
+    Millis from = orders_from_;
+    if (it.value().is_int64()) {
+      const Millis ordered = Millis{it.value().get_int64()} - store_offset;
+      from = std::min(from, ordered + settings_.turn + kClockSlack);
+    }
+    recent_[std::string(it.key())] = from;
   }
 }
 
-RowWrite Fleet::RecentOrders(Millis now) const {
-  json::array list;
+bool Fleet::IsBlocked(const std::string& machine, Millis now) const {
+  if (recent_unknown_) return now < orders_from_;
+  const auto it = recent_.find(machine);
+  return it != recent_.end() && now < it->second;
+}
+
+// Of each machine the time of its newest order, on the store's clock; null when
+// the order may still be sent, or carried out.
+RowWrite Fleet::RecentOrders(Millis now, Millis store_offset) const {
+  json::object row;
   for (const auto& [name, state] : machines_) {
     const bool recent = state.ordered_at.count >= 0 &&
                         now - state.ordered_at < settings_.turn + kOrderSlack;
-    if (state.ordered || recent || IsBlocked(name, now))
-      list.emplace_back(name);
+    const auto last = recent_.find(name);
+    if (state.ordered || (recent_unknown_ && IsBlocked(name, now))) {
+      row[name] = nullptr;
+    } else if (recent) {
+      row[name] = (state.ordered_at + store_offset).count;
+    } else if (last != recent_.end() && now < last->second) {
+      row[name] = (last->second - settings_.turn + store_offset).count;
+    }
   }
-  return {kOrderTable, kOrderKey, json::serialize(list)};
+  return {kOrderTable, kOrderKey, json::serialize(row)};
 }
 
 bool Fleet::WantsListing(Millis now) const {
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -53,10 +53,11 @@
   /// before `orders_from`.
   void BeginTerm(Millis orders_from, Millis now);
   void LoadWave(std::string_view key, std::string_view value);
-  /// The row of the last holder's recent orders.
-  void LoadRecent(std::string_view value);
+  /// The row of the last holder's recent orders. `store_offset` is the store's
+  /// clock less ours.
+  void LoadRecent(std::string_view value, Millis store_offset);
   /// The row that must be in the store before the newest orders are sent.
-  [[nodiscard]] RowWrite RecentOrders(Millis now) const;
+  [[nodiscard]] RowWrite RecentOrders(Millis now, Millis store_offset) const;
   /// A whole listing, asked for at `sent`.
   void OnMachines(const std::vector<Machine>& machines, Millis sent);
   std::vector<MachineOrder> Plan(const std::map<int, WaveOrder>& waves,
@@ -102,9 +103,7 @@
   void NotePool(const Pool& pool, const PoolDemand& demand, Millis now);
   [[nodiscard]] bool HasBegun(int wave, const std::string& machine) const;
   /// The last holder's order for the machine may be recent.
-  [[nodiscard]] bool IsBlocked(const std::string& machine, Millis now) const {
-    return now < orders_from_ && (recent_unknown_ || recent_.contains(machine));
-  }
+  [[nodiscard]] bool IsBlocked(const std::string& machine, Millis now) const;
   [[nodiscard]] bool IsFree(const State& state, Millis now) const;
 
   FleetSettings settings_;
@@ -113,8 +112,9 @@
   Millis listed_at_{-1'000'000};
   std::map<std::string, State> machines_;
   std::map<int, std::set<std::string>> begun_;
-  std::set<std::string> recent_;  ///< Ordered by the last holder, as stored.
-  bool recent_unknown_ = false;   ///< The row couldn't be read: it may be any.
+  /// Ordered by the last holder, as stored, and when it may be ordered again.
+  std::map<std::string, Millis, std::less<>> recent_;
+  bool recent_unknown_ = false;  ///< The row couldn't be read: it may be any.
   std::map<std::string, PoolState> pool_states_;
   std::map<std::string, Millis> pool_logged_;
   double tokens_ = 0;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -344,7 +344,7 @@
     if (!orders.empty()) {
       // The next leader must know of them before they are sent.
       const std::uint64_t row =
-          scheduler_.WriteRow(fleet_.RecentOrders(clock_.Now()));
+          scheduler_.WriteRow(fleet_.RecentOrders(clock_.Now(), StoreOffset()));
       commit_signal_.Notify();
       while (Leads(term) && scheduler_.rows_committed() < row) {
         co_await stored_signal_.Wait(kCommitWait);
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -31,8 +31,6 @@
 /// one interval.
 constexpr int kRanksPerPause = 4;
 constexpr Millis kLongestReadPause{700};
-/// A holder whose newest renewal is older than this may be cut off.
-constexpr Millis kRenewalLate{1000};
 /// A peer that wasn't heard of for so long isn't passed on.
 constexpr Millis kPeerForgotten = base::Seconds(30);
 /// Followers ask the leader every `kCheckInterval`: one that did so within this
@@ -47,6 +45,8 @@
 /// A beat's time may be behind by one slow answer of the store (0.55 s at a
 /// sixtieth of its speed), as the holder knows the store's clock from answers.
 constexpr Millis kBeatSlack{600};
+/// Steady clocks drift apart by far less than a millisecond in this time.
+constexpr Millis kStoreTimeKept = base::Seconds(10);
 constexpr Millis kLongUp = base::Seconds(20);
 /// A worker's clock may run 2% slow; orders under way take a moment.
 constexpr Millis kLeaseSlack{400};
@@ -154,17 +154,19 @@
     holder_gone_ = holder_gone_ || refused;
     co_return false;
   }
-  holder_ended_ = heard_.incarnation != holder.incarnation;
-  if (heard_.incarnation != holder.incarnation || !heard_.leads) {
+  const HolderNews news = JudgeHolder(holder, heard_);
+  holder_ended_ =
+      news == HolderNews::kEnded || news == HolderNews::kSteppedDown;
+  holder_stalls_ = news == HolderNews::kStalls;
+  if (holder_ended_) {
     // A newer leader may have been named in the answer.
-    const bool same =
+    holder_gone_ =
         lease_.lease && lease_.lease->incarnation == holder.incarnation;
-    holder_gone_ = same;
     co_return false;
   }
   holder_gone_ = false;
+  if (news == HolderNews::kTaking) co_return false;
   free_since_ = std::nullopt;
-  holder_stalls_ = heard_.renewal_age_ms >= kRenewalLate.count;
   if (!holder_stalls_) beat_watch_.OnHeard(heard_.beat_version, clock_.Now());
   co_return !holder_stalls_;
 }
@@ -176,6 +178,7 @@
   check.__set_leads(leads_);
   check.__set_term(static_cast<std::int64_t>(term_));
   check.__set_renewal_age_ms((now - renewed_).count);
+  check.__set_commit_ms(commit_timeout_.usual().count);
   const auto version = static_cast<std::int64_t>(config_.version);
   check.__set_config_version(version);
   if (version > config_version) check.__set_config(config_source_);
@@ -268,12 +271,24 @@
   Learn(reply);
   heard_.incarnation = static_cast<std::uint64_t>(reply.incarnation);
   heard_.leads = reply.leads;
+  heard_.term = static_cast<std::uint64_t>(reply.term);
   heard_.beat_version = static_cast<std::uint64_t>(reply.beat_version);
   heard_.renewal_age_ms = reply.renewal_age_ms;
+  heard_.commit_ms = reply.commit_ms;
   heard_.config_version = reply.config_version;
   co_return true;
 }
 
+// An answer tells the time at which it was given: the one that took least on
+// its way is the closest.
+void NodeProcess::NoteStoreTime(std::int64_t ms) {
+  if (ms <= 0) return;
+  const Millis now = clock_.Now();
+  if (ms < StoreTime() && now - store_at_ < kStoreTimeKept) return;
+  store_ms_ = ms;
+  store_at_ = now;
+}
+
 Awaitable<void> NodeProcess::TakeLease(const LeaseView& view,
                                        std::int64_t store_ms) {
   // When the last holder has given its last order, on our clock.
@@ -385,7 +400,7 @@
   } else if (table == jobs::kWorkerTable) {
     scheduler_.LoadWorker(row.key, row.value, now);
   } else if (table == jobs::kOrderTable) {
-    fleet_.LoadRecent(row.value);
+    fleet_.LoadRecent(row.value, StoreOffset());
   } else {
     fleet_.LoadWave(row.key, row.value);
   }
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -65,6 +65,20 @@
   return ms;
 }
 
+HolderNews JudgeHolder(const LeaseRow& holder, const Heard& heard) {
+  if (heard.incarnation != holder.incarnation) return HolderNews::kEnded;
+  if (!heard.leads) {
+    return heard.term < holder.term || holder.term == 0
+               ? HolderNews::kTaking
+               : HolderNews::kSteppedDown;
+  }
+  // While the store is slow, so are renewals.
+  const Millis slow = kRenewInterval + Millis{2 * heard.commit_ms};
+  const Millis late = std::max(kRenewalLate, slow);
+  return heard.renewal_age_ms >= late.count ? HolderNews::kStalls
+                                            : HolderNews::kLeads;
+}
+
 LeaseView ReadLease(std::span<const platform::StoreRow> rows) {
   LeaseView view;
   for (const platform::StoreRow& it : rows) {
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -32,6 +32,9 @@
 /// Above the renewal interval and one commit at a sixtieth of the store's
 /// speed (0.55 s); below `kOrderLimit`, which workers' fences make safe.
 inline constexpr Millis kSilence{1300};
+/// A holder whose newest renewal is older than this may be cut off from the
+/// store: one renewal and what it takes while the store is well.
+inline constexpr Millis kRenewalLate{700};
 /// Enough when the holder itself says that it can't renew.
 inline constexpr Millis kStall{300};
 /// Candidates follow one another at this distance, so that a store that is slow
@@ -76,6 +79,29 @@
 /// The time in a beat row; nullopt when it can't be read.
 std::optional<std::int64_t> BeatTime(std::string_view beat);
 
+/// What a peer last said of itself.
+struct Heard {
+  std::uint64_t incarnation = 0;
+  bool leads = false;
+  std::uint64_t term = 0;  ///< The newest that it has led.
+  std::int64_t renewal_age_ms = 0;
+  std::int64_t commit_ms = 0;  ///< What its commits usually take.
+  std::uint64_t beat_version = 0;
+  std::int64_t config_version = 0;
+};
+
+/// What the process at the holder's address says of the lease.
+enum class HolderNews : std::uint8_t {
+  kLeads,
+  kStalls,       ///< It leads, but hasn't renewed for long.
+  kSteppedDown,  ///< It gives no more orders of that term.
+  kEnded,        ///< Another process answers there.
+  kTaking,       ///< It doesn't know yet that it has the lease.
+};
+
+/// Judges the answer of the holder.
+HolderNews JudgeHolder(const LeaseRow& holder, const Heard& heard);
+
 /// The two rows as last read; versions are 0 while a row doesn't exist.
 struct LeaseView {
   std::uint64_t lease_version = 0;
@@ -142,6 +168,10 @@
 class CommitTimeout {
  public:
   [[nodiscard]] Millis value() const { return value_; }
+  /// What commits took lately.
+  [[nodiscard]] Millis usual() const {
+    return Millis{static_cast<std::int64_t>(usual_ms_)};
+  }
   void OnAnswer(Millis took);
   void OnSilence();
 
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -52,15 +52,6 @@
   bool may_have_run = false;  ///< With status 0: it may still take effect.
 };
 
-/// What a peer last said of itself.
-struct Heard {
-  std::uint64_t incarnation = 0;
-  bool leads = false;
-  std::int64_t renewal_age_ms = 0;
-  std::uint64_t beat_version = 0;
-  std::int64_t config_version = 0;
-};
-
 struct Peer {
   Millis heard{0};
   bool small = false;
@@ -132,9 +123,11 @@
   [[nodiscard]] std::int64_t StoreTime() const {
     return store_ms_ == 0 ? 0 : store_ms_ + (clock_.Now() - store_at_).count;
   }
-  void NoteStoreTime(std::int64_t ms) {
-    if (ms > 0) store_ms_ = ms, store_at_ = clock_.Now();
+  /// The store's clock less ours.
+  [[nodiscard]] Millis StoreOffset() const {
+    return Millis{StoreTime()} - clock_.Now();
   }
+  void NoteStoreTime(std::int64_t ms);
   Awaitable<bool> Load(std::uint64_t term);
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
   void LoadRow(std::string_view table, const platform::StoreRow& row);
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2485,6 +2485,10 @@
 void LeaderCheck::__set_small(const std::vector<std::string> & val) {
   this->small = val;
 }
+
+void LeaderCheck::__set_commit_ms(const int64_t val) {
+  this->commit_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2625,6 +2629,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit_ms);
+          this->__isset.commit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2702,6 +2714,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("commit_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->commit_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2720,6 +2736,7 @@
   swap(a.peers, b.peers);
   swap(a.beat_version, b.beat_version);
   swap(a.small, b.small);
+  swap(a.commit_ms, b.commit_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2735,6 +2752,7 @@
   peers = other106.peers;
   beat_version = other106.beat_version;
   small = other106.small;
+  commit_ms = other106.commit_ms;
   __isset = other106.__isset;
 }
 LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other107) {
@@ -2749,6 +2767,7 @@
   peers = other107.peers;
   beat_version = other107.beat_version;
   small = other107.small;
+  commit_ms = other107.commit_ms;
   __isset = other107.__isset;
   return *this;
 }
@@ -2766,6 +2785,7 @@
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "beat_version=" << to_string(beat_version);
   out << ", " << "small=" << to_string(small);
+  out << ", " << "commit_ms=" << to_string(commit_ms);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -941,7 +941,7 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), small(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), small(false), commit_ms(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
@@ -953,6 +953,7 @@
   bool peers :1;
   bool beat_version :1;
   bool small :1;
+  bool commit_ms :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
@@ -969,7 +970,8 @@
                 config(),
                 lease(),
                 sender(),
-                beat_version(0) {
+                beat_version(0),
+                commit_ms(0) {
   }
 
   virtual ~LeaderCheck() noexcept;
@@ -984,6 +986,7 @@
   std::vector<std::string>  peers;
   int64_t beat_version;
   std::vector<std::string>  small;
+  int64_t commit_ms;
 
   _LeaderCheck__isset __isset;
 
@@ -1009,6 +1012,8 @@
 
   void __set_small(const std::vector<std::string> & val);
 
+  void __set_commit_ms(const int64_t val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1033,6 +1038,8 @@
       return false;
     if (!(small == rhs.small))
       return false;
+    if (!(commit_ms == rhs.commit_ms))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -127,6 +127,7 @@
   9: list<string> peers,        // other nodes heard of lately
   10: i64 beat_version,         // of a leader's newest renewal
   11: list<string> small,       // of `sender` and `peers`, those that lead last
+  12: i64 commit_ms,            // what a leader's commits usually take
 }
 
 union Message {
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr WallMillis kWall{1'700'000'000'000};
+// The store's clock less the leader's.
+constexpr Millis kOffset{50'000};
 
 class FleetTest : public ::testing::Test {
  protected:
@@ -132,7 +134,7 @@
 TEST_F(FleetTest, MachinesOfTheLastHoldersOrdersWaitTheirTurn) {
   for (const char* it : {"m1", "m2"}) AddMachine(it, "off");
   fleet_.BeginTerm(now_ + Millis{3000}, now_);
-  fleet_.LoadRecent(R"(["m1"])");
+  fleet_.LoadRecent(R"({"m1":null})", kOffset);
   List();
   Submit("busy", 8);
   const auto orders = Plan({1000});
@@ -148,7 +150,7 @@
 TEST_F(FleetTest, AnUnreadableRowOfOrdersHoldsAllMachines) {
   for (const char* it : {"m1", "m2"}) AddMachine(it, "off");
   fleet_.BeginTerm(now_ + Millis{3000}, now_);
-  fleet_.LoadRecent("{");
+  fleet_.LoadRecent("{", kOffset);
   List();
   Submit("busy", 4);
   EXPECT_TRUE(Plan({2900}).empty());
@@ -158,7 +160,7 @@
 TEST_F(FleetTest, UnsettledOrdersOfTheLastHolderCountTowardsAWavesCap) {
   for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "off");
   fleet_.BeginTerm(now_ + Millis{3000}, now_);
-  fleet_.LoadRecent(R"(["m1"])");
+  fleet_.LoadRecent(R"({"m1":null})", kOffset);
   List();
   waves_[1] = {1, {"m1", "m2", "m3"}, Millis{20'000}, 1};
   EXPECT_TRUE(Plan({1000}).empty());
@@ -197,18 +199,44 @@
   EXPECT_EQ(Plan({200}).size(), 1U);
 }
 
+TEST_F(FleetTest, MachinesOrderedLongBeforeATakeoverAreFreeAtOnce) {
+  for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "off");
+  fleet_.BeginTerm(now_ + Millis{3000}, now_);
+  const auto ago = [this](int ms) {
+    return std::to_string((now_ + kOffset).count - ms);
+  };
+  fleet_.LoadRecent(
+      "{\"m1\":" + ago(4000) + ",\"m2\":" + ago(1500) + ",\"m3\":null}",
+      kOffset);
+  List();
+  Submit("busy", 6);
+  const auto first = Plan({10});
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].machine, "m1");
+  // The next leader hears of the one that is still held.
+  const std::string row = fleet_.RecentOrders(now_, kOffset).value;
+  EXPECT_NE(row.find("\"m2\":"), std::string::npos);
+  const auto second = Plan({2200});
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].machine, "m2");
+  EXPECT_EQ(Plan({1000}).size(), 1U);
+}
+
 TEST_F(FleetTest, RecentOrdersAreNamedBeforeTheyAreSent) {
   for (const char* it : {"m1", "m2", "m3"}) AddMachine(it, "off");
   List();
-  EXPECT_EQ(fleet_.RecentOrders(now_).value, "[]");
+  EXPECT_EQ(fleet_.RecentOrders(now_, kOffset).value, "{}");
   Submit("busy", 1);
   const auto orders = Plan({1000});
   ASSERT_EQ(orders.size(), 1U);
-  const std::string named = "[\"" + orders[0].machine + "\"]";
-  EXPECT_EQ(fleet_.RecentOrders(now_).value, named);
+  const std::string name = "{\"" + orders[0].machine + "\":";
+  EXPECT_EQ(fleet_.RecentOrders(now_, kOffset).value, name + "null}");
   Answer(orders, MachineAnswer::kDone);
-  EXPECT_EQ(fleet_.RecentOrders(now_ + Millis{3000}).value, named);
-  EXPECT_EQ(fleet_.RecentOrders(now_ + Millis{10'000}).value, "[]");
+  // Its time on the store's clock, once it can't be sent any more.
+  const std::string at = std::to_string((now_ + kOffset).count);
+  EXPECT_EQ(fleet_.RecentOrders(now_ + Millis{3000}, kOffset).value,
+            name + at + "}");
+  EXPECT_EQ(fleet_.RecentOrders(now_ + Millis{10'000}, kOffset).value, "{}");
 }
 
 TEST_F(FleetTest, WaveKeepsItsCapAndTakesMachinesThatAreOffFirst) {
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -80,6 +80,29 @@
   EXPECT_EQ(TakeoverRank(all[2], all, 5), 3);
 }
 
+TEST(TakeoverTest, AHolderThatHasNotHeardOfItsLeaseHasNotGivenItUp) {
+  const LeaseRow holder{"n1", "10.0.0.1:1", 77, 3};
+  const auto judge = [&](std::uint64_t incarnation, bool leads,
+                         std::uint64_t term, std::int64_t age,
+                         std::int64_t commit = 10) {
+    Heard heard;
+    heard.incarnation = incarnation;
+    heard.leads = leads;
+    heard.term = term;
+    heard.renewal_age_ms = age;
+    heard.commit_ms = commit;
+    return JudgeHolder(holder, heard);
+  };
+  EXPECT_EQ(judge(77, true, 3, 20), HolderNews::kLeads);
+  EXPECT_EQ(judge(77, true, 3, 700), HolderNews::kStalls);
+  // A slow store explains later renewals.
+  EXPECT_EQ(judge(77, true, 3, 1000, 350), HolderNews::kLeads);
+  EXPECT_EQ(judge(77, true, 3, 1100, 350), HolderNews::kStalls);
+  EXPECT_EQ(judge(77, false, 3, 0), HolderNews::kSteppedDown);
+  EXPECT_EQ(judge(77, false, 2, 0), HolderNews::kTaking);
+  EXPECT_EQ(judge(78, true, 3, 20), HolderNews::kEnded);
+}
+
 TEST(TakeoverTest, ASlowStoreIsNotASilentHolder) {
   EXPECT_EQ(TakeoverSilence(true, Millis{4}, Millis{0}), kStall);
   EXPECT_EQ(TakeoverSilence(false, Millis{4}, Millis{0}), kSilence);
