One way to listen, and an error that names the address

The HTTP and the peer server opened their sockets by the same four lines each. Test: AnAddressInUseIsNamed. Ruled out: a fault of the node (the ports were taken).

--- a/src/kernel/endpoint.h
+++ b/src/kernel/endpoint.h
@@ -5,6 +5,10 @@
 
 namespace hemlockward::kernel {
 
+/// Opens the acceptor on an `IP:port`; throws std::runtime_error that names the
+/// address when it can't.
+void Listen(boost::asio::ip::tcp::acceptor& acceptor, std::string_view address);
+
 /// The endpoint of an `IP:port`; throws std::invalid_argument on other text.
 boost::asio::ip::tcp::endpoint ParseEndpoint(std::string_view address);
 
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -121,13 +121,6 @@
         handler(std::move(handler)),
         acceptor(asio::make_strand(pool.context())) {}
 
-  void Listen(const tcp::endpoint& endpoint) {
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen(asio::socket_base::max_listen_connections);
-  }
-
   void Begin(tcp::socket socket);
   asio::awaitable<void> Serve(std::shared_ptr<Connection> connection);
   asio::awaitable<bool> ServeOne(Connection& connection);
@@ -276,7 +269,7 @@
 HttpServer::HttpServer(WorkerPool& pool, std::string_view address,
                        HttpLimits limits, HttpHandler handler)
     : state_(std::make_shared<State>(pool, limits, std::move(handler))) {
-  state_->Listen(ParseEndpoint(address));
+  Listen(state_->acceptor, address);
   asio::co_spawn(
       state_->acceptor.get_executor(),
       [state = state_] {
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -231,11 +231,7 @@
 PeerServer::PeerServer(kernel::WorkerPool& pool, std::string_view address,
                        PeerHandler handler)
     : state_(std::make_shared<State>(pool, std::move(handler))) {
-  const tcp::endpoint endpoint = kernel::ParseEndpoint(address);
-  state_->acceptor.open(endpoint.protocol());
-  state_->acceptor.set_option(asio::socket_base::reuse_address(true));
-  state_->acceptor.bind(endpoint);
-  state_->acceptor.listen(asio::socket_base::max_listen_connections);
+  kernel::Listen(state_->acceptor, address);
   asio::co_spawn(
       state_->acceptor.get_executor(),
       [state = state_] {
--- a/tests/accept_test.cc
+++ b/tests/accept_test.cc
@@ -7,8 +7,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
+#include "kernel/endpoint.h"
+
 namespace hemlockward::kernel {
 namespace {
 
@@ -36,5 +40,20 @@
   EXPECT_EQ(taken.size(), static_cast<std::size_t>(kWaiting));
 }
 
+TEST(AcceptTest, AnAddressInUseIsNamed) {
+  asio::io_context context;
+  tcp::acceptor first(context);
+  Listen(first, "127.0.0.1:0");
+  const std::string address =
+      "127.0.0.1:" + std::to_string(first.local_endpoint().port());
+  tcp::acceptor second(context);
+  try {
+    Listen(second, address);
+    FAIL() << "listens twice";
+  } catch (const std::runtime_error& e) {
+    EXPECT_NE(std::string(e.what()).find(address), std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace hemlockward::kernel
