--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,10 +31,18 @@
 GRACE_S = 6.0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_ports():
+    """Ports below those that the system hands out, so that nobody else is given them meanwhile."""
+    port = 24000 + os.getpid() % 400 * 20
+    while True:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+                yield port
+            except OSError:
+                pass  # Another process serves there: the next one.
+        port += 1
 
 
 class Node:
@@ -43,7 +51,7 @@
     def __init__(self, soak, number):
         self.soak = soak
         self.name = f"n{number}"
-        self.front, self.readiness, self.peer = free_port(), free_port(), free_port()
+        self.front, self.readiness, self.peer = (next(soak.ports) for _ in range(3))
         world = soak.world
         app = lambda method, path, query, body, headers: (
             world.store.serve(self.name, method, path, query, body)
@@ -239,6 +247,7 @@
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.world = platform.World(seed)
         self.links = links.Links()
+        self.ports = free_ports()
         self.settling = False
         self.counts = {}
         self.schedule = []
