An unanswered commit is read back before it is sent again

Now the lease's rows are read instead; only a store that reads fast and hasn't done the commit is sent it again. Ruled out: fewer sends only (lost answers need them).

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -20,6 +20,8 @@
 constexpr Millis kReturnTime{150};
 /// One try at the leader; a silent connection is given up after this.
 constexpr Millis kForwardTimeout{900};
+/// Followers ask the leader every 0.3 s.
+constexpr Millis kHeardLately{800};
 /// Without a leader a request waits this long for one, then is refused.
 constexpr Millis kLeaderWait{2200};
 /// A node that stops answers this long before it goes.
@@ -119,8 +121,11 @@
   message.__set_job_call(out);
   const std::string address = lease_.lease->address;
   const Millis begin = clock_.Now();
-  auto answer = co_await peer_client_.Call(address, message,
-                                           std::min(left, kForwardTimeout));
+  // A leader that is heard but hasn't answered yet waits for the store.
+  const bool heard = begin - holder_heard_ < kHeardLately;
+  const bool patient = *may_have_run && heard;
+  auto answer = co_await peer_client_.Call(
+      address, message, patient ? left : std::min(left, kForwardTimeout));
   if (!answer) {
     LogLine(LogLevel::kInfo, "forward_failed")
         .With("path", call.path)
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -68,6 +68,9 @@
     Millis took{0};
   };
   std::vector<Answer> answers;
+  /// The lease's rows, read while no answer came, and how long that took.
+  std::vector<std::pair<LeaseView, Millis>> read_back;
+  int readings = 0;  ///< Under way.
   kernel::Signal answered;
 };
 
@@ -134,6 +137,7 @@
   Awaitable<void> CommitLoop(std::uint64_t term);
   Awaitable<bool> CommitOnce(std::uint64_t term, bool release);
   Awaitable<void> SendCommit(std::shared_ptr<CommitFlight> flight);
+  Awaitable<void> ReadBack(std::shared_ptr<CommitFlight> flight);
   Awaitable<CommitEnd> AwaitCommit(std::uint64_t term, std::string beat,
                                    bool release,
                                    std::shared_ptr<CommitFlight> flight);
@@ -193,6 +197,7 @@
   LeaseView lease_;
   BeatWatch beat_watch_;
   bool holder_gone_ = false;    ///< Evidence that the holder leads no more.
+  Millis holder_heard_{0};      ///< When it last said that it leads.
   bool holder_ended_ = false;   ///< Another process answers at its address.
   bool holder_stalls_ = false;  ///< It says that it can't renew.
   std::optional<Millis> free_since_;  ///< The lease was first seen free.
