Runs of jobs that are over are stopped by the next leader

A job's own row goes when the job is over, so a new leader doesn't know its steps, took what still ran of it for a stranger and left it to its lease; but the lease is one for the whole worker and is renewed with its other runs. Test: RunsOfAJobThatIsOverAreStopped (no stop before). Ruled out: the cancel itself (acknowledged, so stored).

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -4,6 +4,7 @@
 // after the other so that whole machines fall idle and can follow the demand.
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "jobs/scheduler.h"
@@ -381,6 +382,7 @@
 }
 
 void Scheduler::PlanStops(Orders& orders, Millis now) {
+  orders.stops = std::exchange(strays_, {});
   for (auto& [id, worker] : workers_) {
     if (!worker.stops_wanted || worker.silent) continue;
     worker.stops_wanted = false;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -234,8 +234,10 @@
   if (it == worker.runs.end()) {
     const bool known = job && HasTask(*job, active.task);
     if (!known) {
-      // Nothing of ours: it ends with its lease, or the job's row was lost.
+      // Its job was over before this term. Its lease is renewed with those of
+      // the worker's other runs, so it doesn't end by itself.
       worker.refused_until = now + kRefusedPause;
+      strays_.push_back({worker.entry.id, active.task, active.run});
       LogLine(LogLevel::kWarning, "unknown_run")
           .With("worker", worker.entry.id)
           .With("task", active.task.ToText());
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -92,6 +92,7 @@
   term_ = term;
   unheard_by_ = unheard_by;
   open_.clear();
+  strays_.clear();
   dirty_.clear();
   rows_.clear();
   workers_.clear();
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -353,9 +353,10 @@
   Millis unheard_by_{0};
   Millis last_expiry_{0};
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-  std::set<Job*> open_;         ///< Jobs that aren't over.
-  std::set<Job*> dirty_;        ///< Jobs whose rows are to be written.
-  std::vector<RowWrite> rows_;  ///< To be written beside the jobs'.
+  std::set<Job*> open_;            ///< Jobs that aren't over.
+  std::vector<StopOrder> strays_;  ///< Runs of jobs that aren't known.
+  std::set<Job*> dirty_;           ///< Jobs whose rows are to be written.
+  std::vector<RowWrite> rows_;     ///< To be written beside the jobs'.
   std::uint64_t rows_written_ = 0;
   std::uint64_t rows_committed_ = 0;
   std::map<std::string, Worker, std::less<>> workers_;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -584,6 +584,30 @@
   EXPECT_FALSE(StartsAfter(listed_, scheduler_.workers().at("w1").known_since));
 }
 
+TEST_F(TakeoverTest, RunsOfAJobThatIsOverAreStopped) {
+  // Cancelled under the last leader: the job's own row is gone.
+  scheduler_.BeginTerm(2, now_ + Millis{6000});
+  scheduler_.LoadProgress("a", R"({"state":"cancelled","queue":"queue"})",
+                          now_);
+  AddWorker("w3");
+  Submit("b", OneStep(Step(1, 1000)));
+  const Orders first = Plan();
+  ASSERT_EQ(first.starts.size(), 1U);
+  Started(first);
+  now_ += Millis{10};
+  // The other run there has its lease renewed, and with it this one.
+  const TaskId task{"a", 0, 0, 0};
+  const StartOrder& other = first.starts[0];
+  Report("w3", {{other.task, other.run, "", 5, 0}, {task, 7, "", 5, 0}});
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.stops.size(), 1U);
+  EXPECT_EQ(orders.stops[0].task, task);
+  EXPECT_EQ(orders.stops[0].run, 7);
+  EXPECT_EQ(orders.stops[0].worker, "w3");
+  // Once a report.
+  EXPECT_TRUE(Plan().stops.empty());
+}
+
 TEST_F(SchedulerTest, NoLeaseOutlastsTheLongest) {
   AddWorker("w");
   Worker& worker = scheduler_.workers().at("w");
