Failed try: unanswered commits read back (reverted); followers stay patient

Cause of the try: copies of a commit hold up the next one in a slow store. Ruled out: size of the batches (28 to 140 jobs a commit took alike).

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -23,9 +23,6 @@
 /// Sends of one transaction that may be under way at once: a part of the store
 /// does them one after another.
 constexpr int kMostSends = 3;
-/// Readings that may be under way while a commit is unanswered.
-constexpr int kMostReadings = 2;
-constexpr Millis kShortWait{5};
 constexpr Millis kCheckTimeout{400};
 constexpr Millis kCheckInterval{300};
 constexpr Millis kReadInterval{250};
@@ -453,17 +450,6 @@
   flight->answered.Notify();
 }
 
-// Reads what an unanswered commit would have changed.
-Awaitable<void> NodeProcess::ReadBack(std::shared_ptr<CommitFlight> flight) {
-  const Millis asked = clock_.Now();
-  auto page = co_await platform_.Read(kLeaseTable, kPart, "", kReadTimeout);
-  --flight->readings;
-  if (!page) co_return;  // The commit's own answer or time-out tells.
-  NoteStoreTime(page->store_ms);
-  flight->read_back.emplace_back(ReadLease(page->rows), clock_.Now() - asked);
-  flight->answered.Notify();
-}
-
 // Commits one batch: sends its transaction, again while no answer comes, until
 // it is known to be done, surely not done, or the lease is lost. All sends
 // carry the same conditions, so that at most one takes effect.
@@ -525,43 +511,18 @@
     std::uint64_t term, std::string beat, bool release,
     std::shared_ptr<CommitFlight> flight) {
   Millis next_send = clock_.Now();
-  Millis next_reading{0};
-  bool sent = false;
   bool unknown = false;  // A send without an answer may still take effect.
   while (Leads(term)) {
     const Millis now = clock_.Now();
-    if (now >= next_send && flight->in_flight == 0) {
+    if (now >= next_send && flight->in_flight < kMostSends) {
+      if (flight->in_flight > 0) commit_timeout_.OnSilence();
       ++flight->in_flight;
       pool_.Spawn("send_commit", SendCommit(flight));
-      next_reading = now + commit_timeout_.value();
-    } else if (now >= next_reading && flight->readings < kMostReadings) {
-      if (!std::exchange(sent, true)) commit_timeout_.OnSilence();
-      ++flight->readings;
-      pool_.Spawn("read_back", ReadBack(flight));
-      next_reading = now + commit_timeout_.value();
-    }
-    if (!flight->read_back.empty()) {
-      const auto [view, reading] = std::move(flight->read_back.back());
-      flight->read_back.pop_back();
-      const CommitNews news = JudgeReadBack(view, beat, fence_, reading);
-      if (news == CommitNews::kDone) {
-        beat_version_ = view.beat_version;
-        co_return CommitEnd::kDone;
-      }
-      if (news == CommitNews::kLeaseLost) {
-        StepDown("lease lost");
-        break;
-      }
-      const bool again = news == CommitNews::kNotReceived;
-      if (again && flight->in_flight > 0 && flight->in_flight < kMostSends) {
-        ++flight->in_flight;
-        pool_.Spawn("send_commit", SendCommit(flight));
-      }
-      continue;
+      next_send = now + commit_timeout_.value();
     }
     if (flight->answers.empty()) {
-      const Millis due = flight->in_flight == 0 ? next_send : next_reading;
-      co_await flight->answered.Wait(std::max(due - now, kShortWait));
+      const Millis wait = std::max(next_send - now, kRetryPause);
+      co_await flight->answered.Wait(wait);
       continue;
     }
     const auto [result, took] = std::move(flight->answers.back());
@@ -600,7 +561,8 @@
     unknown = unknown || error.failure == CallFailure::kUnknown;
     if (!unknown && flight->in_flight == 0) co_return CommitEnd::kNotDone;
     // A store that answers or resets at once isn't asked at once again.
-    next_send = clock_.Now() + kRetryPause;
+    const Millis soon = clock_.Now() + kRetryPause;
+    next_send = flight->in_flight > 0 ? std::max(next_send, soon) : soon;
   }
   co_return CommitEnd::kLost;
 }
