Commits are read back beside the second send

Change: after 150 ms the lease's rows are read; done, they end the wait; fast and not done, another copy goes at once.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -23,6 +23,14 @@
 /// Sends of one transaction that may be under way at once: a part of the store
 /// does them one after another.
 constexpr int kMostSends = 3;
+/// The same while the store reads fast: it loses calls or answers, and copies
+/// don't wait for one another.
+constexpr int kMostSendsToFast = 8;
+/// Readings that may be under way while a commit is unanswered.
+constexpr int kMostReadings = 2;
+/// A commit unanswered for so long is read back: a store that is well answers
+/// in 9 ms.
+constexpr Millis kReadBackInterval{150};
 constexpr Millis kCheckTimeout{400};
 constexpr Millis kCheckInterval{300};
 constexpr Millis kReadInterval{250};
@@ -450,6 +458,17 @@
   flight->answered.Notify();
 }
 
+// Reads what an unanswered commit would have changed.
+Awaitable<void> NodeProcess::ReadBack(std::shared_ptr<CommitFlight> flight) {
+  const Millis asked = clock_.Now();
+  auto page = co_await platform_.Read(kLeaseTable, kPart, "", kReadTimeout);
+  --flight->readings;
+  if (!page) co_return;  // The commit's own answer or time-out tells.
+  NoteStoreTime(page->store_ms);
+  flight->read_back.emplace_back(ReadLease(page->rows), clock_.Now() - asked);
+  flight->answered.Notify();
+}
+
 // Commits one batch: sends its transaction, again while no answer comes, until
 // it is known to be done, surely not done, or the lease is lost. All sends
 // carry the same conditions, so that at most one takes effect.
@@ -511,18 +530,43 @@
     std::uint64_t term, std::string beat, bool release,
     std::shared_ptr<CommitFlight> flight) {
   Millis next_send = clock_.Now();
+  Millis next_reading = next_send + kReadBackInterval;
   bool unknown = false;  // A send without an answer may still take effect.
   while (Leads(term)) {
     const Millis now = clock_.Now();
+    if (now >= next_reading && flight->readings < kMostReadings) {
+      ++flight->readings;
+      pool_.Spawn("read_back", ReadBack(flight));
+      next_reading = now + kReadBackInterval;
+    }
     if (now >= next_send && flight->in_flight < kMostSends) {
       if (flight->in_flight > 0) commit_timeout_.OnSilence();
       ++flight->in_flight;
       pool_.Spawn("send_commit", SendCommit(flight));
       next_send = now + commit_timeout_.value();
     }
+    if (!flight->read_back.empty()) {
+      const auto [view, reading] = std::move(flight->read_back.back());
+      flight->read_back.pop_back();
+      const CommitNews news = JudgeReadBack(view, beat, fence_, reading);
+      if (news == CommitNews::kDone) {
+        beat_version_ = view.beat_version;
+        co_return CommitEnd::kDone;
+      }
+      if (news == CommitNews::kLeaseLost) {
+        StepDown("lease lost");
+        break;
+      }
+      const bool again = news == CommitNews::kNotReceived;
+      if (again && flight->in_flight < kMostSendsToFast) {
+        ++flight->in_flight;
+        pool_.Spawn("send_commit", SendCommit(flight));
+      }
+      continue;
+    }
     if (flight->answers.empty()) {
-      const Millis wait = std::max(next_send - now, kRetryPause);
-      co_await flight->answered.Wait(wait);
+      const Millis due = std::min(next_send, next_reading);
+      co_await flight->answered.Wait(std::max(due - now, kRetryPause));
       continue;
     }
     const auto [result, took] = std::move(flight->answers.back());
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -104,6 +104,13 @@
 
 }  // namespace
 
+CommitNews JudgeReadBack(const LeaseView& view, std::string_view beat,
+                         std::uint64_t fence, Millis took) {
+  if (view.lease_version != fence) return CommitNews::kLeaseLost;
+  if (view.beat == beat) return CommitNews::kDone;
+  return took < kSlowReading ? CommitNews::kNotReceived : CommitNews::kNotYet;
+}
+
 int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
                  std::uint64_t term) {
   const auto place = [term](const Candidate& it) {
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "platform/codec.h"
@@ -37,6 +38,9 @@
 inline constexpr Millis kRenewalLate{700};
 /// Enough when the holder itself says that it can't renew.
 inline constexpr Millis kStall{300};
+/// A reading that takes longer shows that the store is slow: it answers in 4
+/// ms.
+inline constexpr Millis kSlowReading{60};
 /// Candidates follow one another at this distance, so that a store that is slow
 /// isn't flooded by all of them: a free lease is taken within 10 ms at its
 /// usual speed.
@@ -162,6 +166,19 @@
   std::optional<Millis> since_;
 };
 
+/// What the lease's rows, read while a commit awaits its answer, say of it.
+enum class CommitNews : std::uint8_t {
+  kDone,
+  kLeaseLost,
+  kNotReceived,  ///< The store is well and hasn't done it: send it again.
+  kNotYet,       ///< The store is slow: sending again would slow it further.
+};
+
+/// Judges rows that took `took` to read while the commit of `beat` under
+/// `fence` was unanswered.
+CommitNews JudgeReadBack(const LeaseView& view, std::string_view beat,
+                         std::uint64_t fence, Millis took);
+
 /// How long a commit's answer is awaited before the same transaction is sent
 /// again, which is safe: it follows the store's pace, so that a lost answer
 /// costs little and a slow store isn't flooded.
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -68,6 +68,9 @@
     Millis took{0};
   };
   std::vector<Answer> answers;
+  /// The lease's rows, read while no answer came, and how long that took.
+  std::vector<std::pair<LeaseView, Millis>> read_back;
+  int readings = 0;  ///< Under way.
   kernel::Signal answered;
 };
 
@@ -134,6 +137,7 @@
   Awaitable<void> CommitLoop(std::uint64_t term);
   Awaitable<bool> CommitOnce(std::uint64_t term, bool release);
   Awaitable<void> SendCommit(std::shared_ptr<CommitFlight> flight);
+  Awaitable<void> ReadBack(std::shared_ptr<CommitFlight> flight);
   Awaitable<CommitEnd> AwaitCommit(std::uint64_t term, std::string beat,
                                    bool release,
                                    std::shared_ptr<CommitFlight> flight);
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -138,6 +138,19 @@
   EXPECT_TRUE(IsHandOverDue(small, both, kLeastLead, kHandOverPause));
 }
 
+TEST(CommitTest, AnUnansweredCommitIsSentAgainOnlyToAStoreThatIsWell) {
+  LeaseView view;
+  view.lease_version = 9;
+  view.beat = "3.17@5";
+  const Millis slow{290};
+  EXPECT_EQ(JudgeReadBack(view, "3.17@5", 9, slow), CommitNews::kDone);
+  EXPECT_EQ(JudgeReadBack(view, "3.18@5", 9, Millis{4}),
+            CommitNews::kNotReceived);
+  EXPECT_EQ(JudgeReadBack(view, "3.18@5", 9, slow), CommitNews::kNotYet);
+  EXPECT_EQ(JudgeReadBack(view, "3.17@5", 8, Millis{4}),
+            CommitNews::kLeaseLost);
+}
+
 TEST(CommitTimeoutTest, FollowsTheStoresPaceAndBacksOff) {
   CommitTimeout timeout;
   for (int i = 0; i < 50; ++i) timeout.OnAnswer(Millis{8});
