No orders once the end of the lease was sent

Cause, found by reading: while the last commit of a term waits for its answer the lease may already be another's, but orders went on until the answer came; a taker counts the last holder's orders as over at once when the lease was released. Now none is given from the moment the release is sent. Ruled out: fences alone (a worker that only the old leader reaches would have got a longer lease than the taker assumes).

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -636,13 +636,15 @@
   while (committing_ && clock_.Now() < limit) {
     co_await stored_signal_.Wait(kRetryPause);
   }
-  if (Leads(term)) co_await CommitOnce(term, true);
+  if (!Leads(term)) co_return;
+  releasing_ = true;
+  co_await CommitOnce(term, true);
   if (Leads(term)) StepDown(reason);
 }
 
 void NodeProcess::StepDown(std::string_view reason) {
   if (!leads_) return;
-  leads_ = loaded_ = handing_over_ = false;
+  leads_ = loaded_ = handing_over_ = releasing_ = false;
   LogLine(LogLevel::kWarning, "stepped_down")
       .With("term", term_)
       .With("reason", reason)
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -151,7 +151,8 @@
   }
   /// Whether orders may be given now.
   [[nodiscard]] bool MayOrder() const {
-    return leads_ && loaded_ && clock_.Now() - renewed_ < kOrderLimit;
+    const bool renewed = clock_.Now() - renewed_ < kOrderLimit;
+    return leads_ && loaded_ && !releasing_ && renewed;
   }
   /// Whether machines may be moved or taken down now. Stricter, so that the
   /// next leader needn't wait for long.
@@ -209,7 +210,8 @@
   bool loaded_ = false;
   bool stopping_ = false;
   bool committing_ = false;
-  bool handing_over_ = false;          ///< The last commit of the term is due.
+  bool handing_over_ = false;  ///< The last commit of the term is due.
+  bool releasing_ = false;     ///< It was sent: another may lead already.
   std::optional<Millis> handed_over_;  ///< To a larger node.
   std::uint64_t term_ = 0;
   std::uint64_t fence_ = 0;
