Ends of one life of a worker aren't acknowledged to the next

Change: committed ends carry the life they belong to. Two windows beside it, found by reading: after a silence nothing is acknowledged before the worker has said which life it is, and an answer whose clock is back shows another life.

--- a/bench/job_world.cc
+++ b/bench/job_world.cc
@@ -413,7 +413,7 @@
         if (state == jobs::JobState::kCompleted)
           complete_.try_emplace(id, now_);
       }
-      for (const auto& [worker, number] : batch.ends) {
+      for (const auto& [worker, born, number] : batch.ends) {
         if (EmulatedMachine* it = Find(worker)) Report(*it);
       }
     });
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -31,6 +31,9 @@
 // pace; the error is at most the drift of this time. Older readings are taken
 // at the slowest pace, so that no lease is longer than `LongestLease`.
 constexpr Millis kTrustedClock = base::Seconds(10);
+// Answers overtake each other by less than this: a clock that is further back
+// is another life's.
+constexpr Millis kOvertaken{1000};
 // Slack for the time between stamping an order and its arrival.
 constexpr Millis kLeaseMargin{150};
 
@@ -172,6 +175,12 @@
   }
 }
 
+void Scheduler::OnClock(std::string_view id, std::int64_t clock_ms) {
+  Worker* worker = FindWorker(id);
+  if (!worker || clock_ms == 0) return;
+  if (clock_ms < worker->clock_ms - kOvertaken.count) worker->silent = true;
+}
+
 bool Scheduler::OnStop(const StopOrder& order, bool answered, Millis now) {
   Worker* worker = FindWorker(order.worker);
   if (!worker) return false;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -364,7 +364,7 @@
   if (!dirty_.empty()) return batch;
   for (auto& [id, worker] : workers_) {
     if (worker.reported > worker.committed) {
-      batch.ends.emplace_back(id, worker.reported);
+      batch.ends.push_back({id, worker.born, worker.reported});
     }
   }
   return batch;
@@ -378,10 +378,11 @@
     job.stored = true;
     job.shown = state;
   }
-  for (const auto& [id, number] : batch.ends) {
-    if (Worker* worker = FindWorker(id)) {
-      worker->committed = std::max(worker->committed, number);
-    }
+  for (const EndMark& it : batch.ends) {
+    Worker* worker = FindWorker(it.worker);
+    // Another life numbers its ends anew.
+    if (!worker || worker->born != it.born) continue;
+    worker->committed = std::max(worker->committed, it.number);
   }
   for (const std::string& id : batch.workers) {
     Worker* worker = FindWorker(id);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -200,11 +200,18 @@
   std::uint64_t number = 0;  ///< Of the fleet's rows, in order of writing.
 };
 
+/// Ends of one life of a worker, up to a number.
+struct EndMark {
+  std::string worker;
+  std::int64_t born = 0;
+  std::int64_t number = 0;
+};
+
 /// What one transaction writes, and what is true once it is committed.
 struct Batch {
   std::vector<RowWrite> rows;
   std::vector<std::pair<std::string, JobState>> shown;
-  std::vector<std::pair<std::string, std::int64_t>> ends;  ///< Worker, number.
+  std::vector<EndMark> ends;  ///< To be acknowledged once it is committed.
   std::vector<std::string> workers;  ///< Whose rows are written.
 };
 
@@ -252,6 +259,9 @@
   /// What to send now. With `may_start` false only stops are given.
   Orders Plan(Millis now, WallMillis wall, bool may_start);
   void OnStart(const StartOrder& order, StartAnswer answer, Millis now);
+  /// The worker's clock, as it came with the answer to an order: an earlier one
+  /// than known shows another life, which is asked before it gets orders.
+  void OnClock(std::string_view worker, std::int64_t clock_ms);
   /// True when a report is wanted soon: the run may never have been there.
   bool OnStop(const StopOrder& order, bool answered, Millis now);
   void OnAdvice(std::string_view step, std::span<const std::string> asked,
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -152,7 +152,8 @@
   const bool wait = may_wait && worker->adopted && !worker->silent &&
                     !worker->runs.empty() &&
                     worker->reported == worker->committed;
-  const std::int64_t acknowledged = worker->committed;
+  // After a silence another life may answer, whose ends are numbered anew.
+  const std::int64_t acknowledged = worker->silent ? 0 : worker->committed;
   // A worker that doesn't answer may still hear: it gets no longer lease, so
   // that what it runs surely ends.
   const std::int64_t deadline =
@@ -266,6 +267,7 @@
     co_return;
   }
   scheduler_.OnStart(order, answer, now);
+  scheduler_.OnClock(order.worker, reply.clock_ms);
   if (answer == jobs::StartAnswer::kUnknown) {
     co_await HoldOnce(term, order.worker, false);
   }
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -517,8 +517,8 @@
   scheduler_.OnCommitted(batch);
   stored_signal_.Notify();
   if (!batch.shown.empty() || !batch.workers.empty()) Kick();
-  for (const auto& [id, number] : batch.ends) {
-    const auto it = hold_signals_.find(id);
+  for (const jobs::EndMark& mark : batch.ends) {
+    const auto it = hold_signals_.find(mark.worker);
     if (it != hold_signals_.end()) it->second->Notify();
   }
   co_return true;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -608,6 +608,39 @@
   EXPECT_TRUE(Plan().stops.empty());
 }
 
+TEST_F(SchedulerTest, EndsOfAnEarlierLifeAreNotAcknowledgedToTheNext) {
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  Started(orders);
+  now_ += Millis{10};
+  const StartOrder& start = orders.starts[0];
+  Report("w", {}, {{7, start.task, start.run, EndKind::kFailed, ""}});
+  const Batch batch = scheduler_.TakeBatch();
+  ASSERT_EQ(batch.ends.size(), 1U);
+  // It starts again under its id, and its ends are numbered anew.
+  now_ += Millis{10};
+  WorkerReport report;
+  report.clock_ms = 1;
+  report.born = 2;
+  scheduler_.OnReport("w", report, now_, now_);
+  scheduler_.OnCommitted(batch);
+  EXPECT_EQ(scheduler_.workers().at("w").committed, 0);
+}
+
+TEST_F(SchedulerTest, AClockThatIsBackShowsAnotherLife) {
+  AddWorker("w");
+  Worker& worker = scheduler_.workers().at("w");
+  worker.clock_ms = 60'000;
+  scheduler_.OnClock("w", 59'500);
+  EXPECT_FALSE(worker.silent);
+  scheduler_.OnClock("w", 300);
+  EXPECT_TRUE(worker.silent);
+  Submit("a", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
 TEST_F(SchedulerTest, AnOlderReportThatComesLateIsLeftAside) {
   AddWorker("w");
   Submit("a", OneStep(Step(1, 1000)));
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized soak: real hemlockward-node processes, faults from outside, promises checked meanwhile.
 
-Usage: soak.py [--seeds A-B] [--seconds S] [--nodes N] [--machines N]   (with HEMLOCKWARD_BIN set)
+Usage: soak.py [--seeds 1-3,107] [--seconds S] [--nodes N] [--machines N]   (with HEMLOCKWARD_BIN set)
 Prints one line a seed; exits with 1 when a promise was broken. Logs of such a seed are kept.
 """
 
@@ -537,15 +537,16 @@
 
 def main():
     parser = argparse.ArgumentParser()
-    parser.add_argument("--seeds", default="1", help="one seed, or FIRST-LAST")
+    parser.add_argument("--seeds", default="1", help="seeds and ranges of them, as in 1-3,107")
     parser.add_argument("--seconds", type=float, default=20, help="how long faults come")
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--machines", type=int, default=9)
     args = parser.parse_args()
-    first, _, last = args.seeds.partition("-")
-    results = []
-    for seed in range(int(first), int(last or first) + 1):
-        results.append(Soak(seed, args.seconds, args.nodes, args.machines).run())
+    seeds = []
+    for part in args.seeds.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    results = [Soak(it, args.seconds, args.nodes, args.machines).run() for it in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     return 0 if all(results) else 1
 
