--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -123,7 +123,7 @@
   bool from_earlier_term = false;
   bool reserved = false;  ///< Being emptied for a move or upkeep.
   bool awaits_upkeep = false;
-  Millis known_since{0};
+  Millis known_since{0};      ///< When this leader first heard of it.
   bool silent = false;        ///< An order went unanswered; not heard since.
   bool stops_wanted = false;  ///< Some run has `stop_wanted`.
   Millis refused_until{0};
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -36,6 +36,9 @@
 /// One read of the store; it answers in 4 ms, slowed sixtyfold in 240 ms.
 inline constexpr Millis kReadTimeout{1500};
 
+/// One transaction: as slow a store does it in 0.65 s.
+inline constexpr Millis kCommitTimeout{1500};
+
 /// A client's call on jobs, wherever it arrived.
 struct Call {
   std::string method;
@@ -135,6 +138,8 @@
   Awaitable<bool> Load(std::uint64_t term);
   Awaitable<bool> LoadTable(std::uint64_t term, std::string table);
   void LoadRow(std::string_view table, const platform::StoreRow& row);
+
+  // Commits (commits.cc).
   Awaitable<void> CommitLoop(std::uint64_t term);
   Awaitable<bool> CommitOnce(std::uint64_t term, bool release);
   Awaitable<void> SendCommit(std::shared_ptr<CommitFlight> flight);
@@ -144,7 +149,9 @@
                                    std::shared_ptr<CommitFlight> flight);
   [[nodiscard]] platform::StoreTransaction ToTransaction(
       const jobs::Batch& batch, const std::string& beat, bool release) const;
+  /// The last commit of the term, with which the lease ends.
   Awaitable<void> HandOver(std::string_view reason, Millis limit);
+
   void StepDown(std::string_view reason);
   [[nodiscard]] bool Leads(std::uint64_t term) const {
     return leads_ && term_ == term;
@@ -166,6 +173,7 @@
   void ApplyWorkerRow(const platform::StoreRow& row);
   void WatchWorkers(std::uint64_t term);
   Awaitable<void> HoldLoop(std::uint64_t term, std::string id);
+  /// One report of the worker; with `may_wait` it may come when there is news.
   Awaitable<void> HoldOnce(std::uint64_t term, std::string id, bool may_wait);
   Awaitable<void> PlanLoop(std::uint64_t term);
   void Execute(std::uint64_t term, jobs::Orders orders);
