Job rows are removed only together with the job's final state

After seconds of refusals the first transactions that the store took held up to 90 removals and no final state. The leader changed right then, and the next one knew none of these jobs: 410. Change: rows of jobs and workers that are built again aren't requeued. Besides, a transaction counts as not applied only when every send of it was refused; a refusal that was looked at before the loss of another send's answer counted. Ruled out: a deposed leader's answers (too old by its lease), pages of a load (178 jobs were all that the store held).

No functional change in the policies

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -404,21 +404,29 @@
 }
 
 void Scheduler::OnCommitFailed(const Batch& batch) {
+  std::set<std::string_view> jobs;
   for (const auto& [id, state] : batch.committed_states) {
+    jobs.insert(id);
     const auto it = jobs_.find(id);
     if (it == jobs_.end()) continue;
     it->second->sent = false;
     unsaved_jobs_.insert(it->second.get());
   }
+  // The rows of these jobs are built again. Requeued on their own, the removal
+  // of a job's row could be committed without the job's final state.
+  const auto is_rebuilt = [&jobs](const RowWrite& row) {
+    const bool of_job = row.table == kJobTable || row.table == kProgressTable;
+    return (of_job && jobs.contains(row.key)) ||
+           (row.table == kWorkerTable && !row.remove);
+  };
   // Insert before newer rows to keep the sequence numbers in order.
   std::vector<RowWrite> again;
   for (const RowWrite& it : batch.rows) {
-    const bool rebuilt = it.table == kJobTable || it.table == kProgressTable;
     const bool newer =
         std::any_of(rows_.begin(), rows_.end(), [&it](const RowWrite& other) {
           return other.table == it.table && other.key == it.key;
         });
-    if ((it.remove || !rebuilt) && !newer) again.push_back(it);
+    if (!is_rebuilt(it) && !newer) again.push_back(it);
   }
   rows_.insert(rows_.begin(), again.begin(), again.end());
 }
--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -57,7 +57,10 @@
     std::shared_ptr<PendingCommit> pending) {
   const Millis sent = clock_.Now();
   auto result = co_await platform_.Commit(pending->transaction, kCommitTimeout);
-  --pending->in_flight;
+  const bool refused = !result &&
+                       result.error().failure != CallFailure::kUnknown &&
+                       result.error().failure != CallFailure::kConflict;
+  pending->sends.OnEnd(refused);
   pending->answers.push_back({std::move(result), clock_.Now() - sent});
   pending->answered.Notify();
 }
@@ -139,7 +142,6 @@
     std::shared_ptr<PendingCommit> pending) {
   Millis next_send = clock_.Now();
   Millis next_reading = next_send + kReadBackInterval;
-  bool unknown = false;  // A send without a response may still take effect.
   while (IsLeading(term)) {
     const Millis now = clock_.Now();
     if (now >= next_reading && pending->readings < kMaxReads) {
@@ -147,9 +149,9 @@
       pool_.Spawn("read_back", ReadBack(pending));
       next_reading = now + kReadBackInterval;
     }
-    if (now >= next_send && pending->in_flight < kMaxSends) {
-      if (pending->in_flight > 0) commit_timeout_.OnTimeout();
-      ++pending->in_flight;
+    if (now >= next_send && pending->sends.in_flight() < kMaxSends) {
+      if (pending->sends.in_flight() > 0) commit_timeout_.OnTimeout();
+      pending->sends.OnSend();
       pool_.Spawn("send_commit", SendCommit(pending));
       next_send = now + commit_timeout_.value();
     }
@@ -167,8 +169,8 @@
         break;
       }
       const bool again = status == CommitStatus::kNotReceived;
-      if (again && pending->in_flight < kMaxSendsToFastStore) {
-        ++pending->in_flight;
+      if (again && pending->sends.in_flight() < kMaxSendsToFastStore) {
+        pending->sends.OnSend();
         pool_.Spawn("send_commit", SendCommit(pending));
       }
       continue;
@@ -208,14 +210,14 @@
     LogLine(LogLevel::kWarning, "commit_failed")
         .With("beat", heartbeat)
         .With("rows", pending->transaction.writes.size())
-        .With("in_flight", pending->in_flight)
+        .With("in_flight", pending->sends.in_flight())
         .With("error", error.what);
     if (release) break;
-    unknown = unknown || error.failure == CallFailure::kUnknown;
-    if (!unknown && pending->in_flight == 0) co_return CommitOutcome::kNotDone;
+    if (pending->sends.AllRefused()) co_return CommitOutcome::kNotDone;
     // Delays the retry when the store fails or resets calls immediately.
     const Millis soon = clock_.Now() + kRetryPause;
-    next_send = pending->in_flight > 0 ? std::max(next_send, soon) : soon;
+    next_send =
+        pending->sends.in_flight() > 0 ? std::max(next_send, soon) : soon;
   }
   co_return CommitOutcome::kLost;
 }
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -185,6 +185,26 @@
 CommitStatus ClassifyReadBack(const LeaseView& view, std::string_view heartbeat,
                               std::uint64_t fence, Millis read_time);
 
+/// Counts the sends of one transaction and their outcomes. All sends carry the
+/// same conditions, so at most one of them is applied.
+class CommitSends {
+ public:
+  void OnSend() { ++sent_; }
+  /// One send ended; `refused`: the store has certainly not applied it.
+  void OnEnd(bool refused) {
+    ++ended_;
+    if (refused) ++refused_;
+  }
+  [[nodiscard]] int in_flight() const { return sent_ - ended_; }
+  /// True when no send was applied or can still be applied.
+  [[nodiscard]] bool AllRefused() const { return sent_ == refused_; }
+
+ private:
+  int sent_ = 0;
+  int ended_ = 0;
+  int refused_ = 0;
+};
+
 /// Adaptive timeout after which an unanswered transaction is sent again, which
 /// is safe. It follows the store's response time, so that a lost response costs
 /// little and a slow store isn't overloaded.
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -68,7 +68,7 @@
       : answered(context) {}
 
   platform::StoreTransaction transaction;
-  int in_flight = 0;
+  CommitSends sends;
   struct Answer {
     tl::expected<platform::StoreCommit, platform::CallError> result;
     Millis latency{0};
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "jobs/rows.h"
@@ -455,6 +458,42 @@
   EXPECT_TRUE(batch.ends.empty());
 }
 
+// After an outage of the store, a batch full of row removals was committed
+// without the final states of those jobs, and the next leader knew none of
+// them.
+TEST_F(SchedulerTest, JobRowIsRemovedOnlyTogetherWithItsFinalStateAfterOutage) {
+  constexpr int kJobs = 200;
+  for (int i = 0; i < 4; ++i) AddWorker("w" + std::to_string(i), 64'000);
+  for (int i = 0; i < kJobs; ++i) {
+    Submit("job" + std::to_string(i), OneStep(Step(1, 1000)));
+  }
+  const Orders orders = Plan();
+  Started(orders);
+  ASSERT_EQ(orders.starts.size(), static_cast<std::size_t>(kJobs));
+  std::map<std::string, std::int64_t> ends;
+  now_ += Millis{100};
+  for (const StartOrder& it : orders.starts) {
+    Report(it.worker, {},
+           {{++ends[it.worker], it.task, it.run, EndKind::kDone, ""}});
+  }
+  for (int i = 0; i < 5; ++i) scheduler_.OnCommitFailed(scheduler_.TakeBatch());
+  std::set<std::string> over;
+  while (scheduler_.HasChanges()) {
+    const Batch batch = Commit();
+    std::map<std::string, std::string> progress;
+    for (const RowWrite& it : batch.rows) {
+      if (it.table == kProgressTable) progress[it.key] = it.value;
+    }
+    for (const RowWrite& it : batch.rows) {
+      if (it.table != kJobTable || !it.remove) continue;
+      EXPECT_NE(progress[it.key].find("completed"), std::string::npos)
+          << it.key;
+      EXPECT_TRUE(over.insert(it.key).second) << it.key << " removed twice";
+    }
+  }
+  EXPECT_EQ(over.size(), static_cast<std::size_t>(kJobs));
+}
+
 TEST_F(SchedulerTest, RowCountsAsCommittedOnlyAfterItsCommit) {
   const std::uint64_t first = scheduler_.WriteRow({"orders", "recent", "a"});
   Batch batch = scheduler_.TakeBatch();
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -173,6 +173,28 @@
             CommitStatus::kLeaseLost);
 }
 
+// Two sends ended before either was looked at: one got no answer, the other was
+// refused. The refusal alone was taken as proof that nothing was stored.
+TEST(CommitTest, RefusedSendDoesNotProveThatAnUnansweredOneWasNotApplied) {
+  CommitSends sends;
+  sends.OnSend();
+  sends.OnSend();
+  sends.OnEnd(false);
+  sends.OnEnd(true);
+  EXPECT_EQ(sends.in_flight(), 0);
+  EXPECT_FALSE(sends.AllRefused());
+}
+
+TEST(CommitTest, TransactionIsNotAppliedWhenEverySendWasRefused) {
+  CommitSends sends;
+  sends.OnSend();
+  sends.OnSend();
+  sends.OnEnd(true);
+  EXPECT_FALSE(sends.AllRefused());
+  sends.OnEnd(true);
+  EXPECT_TRUE(sends.AllRefused());
+}
+
 TEST(CommitTimeoutTest, FollowsTheStoresSpeedAndBacksOff) {
   CommitTimeout timeout;
   for (int i = 0; i < 50; ++i) timeout.OnAnswer(Millis{8});
