Workers report again only once their ends are committed

Change: the next step of a worker's renewal is a pure function (renewal.h); a notification doesn't end the wait for the commit.

No functional change in the policies

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "node/process.h"
+#include "node/renewal.h"
 
 namespace hemlockward::node {
 
@@ -121,26 +122,28 @@
 
 Awaitable<void> NodeProcess::RenewWorkerLoop(std::uint64_t term,
                                              std::string id) {
+  Millis commit_wait_ends = clock_.Now() + kCommitWait;
   while (IsLeading(term)) {
     jobs::Worker* worker = scheduler_.FindWorker(id);
     if (!worker) break;
-    const bool wanted =
-        !worker->adopted || worker->unresponsive || !worker->runs.empty() ||
-        worker->reported_end_number > worker->confirmed_end_number;
     kernel::Signal& signal = *worker_signals_.at(id);
-    if (worker->ended || !wanted || worker->entry.address.empty()) {
-      co_await signal.Wait(kIdleCheck);
-      continue;
-    }
-    if (!CanSendOrders()) {
-      co_await signal.Wait(kRetryPause);
-      continue;
-    }
-    if (worker->reported_end_number > worker->committed_end_number) {
-      commit_signal_.Notify();
-      co_await signal.Wait(kCommitWait);
+    const Millis now = clock_.Now();
+    switch (NextRenewalStep(*worker, CanSendOrders(), commit_wait_ends, now)) {
+      case RenewalStep::kRest:
+        co_await signal.Wait(kIdleCheck);
+        break;
+      case RenewalStep::kAwaitPermission:
+        co_await signal.Wait(kRetryPause);
+        break;
+      case RenewalStep::kAwaitCommit:
+        commit_signal_.Notify();
+        co_await signal.Wait(commit_wait_ends - now);
+        break;
+      case RenewalStep::kRequest:
+        co_await RenewWorker(term, id, true);
+        commit_wait_ends = clock_.Now() + kCommitWait;
+        break;
     }
-    if (IsLeading(term)) co_await RenewWorker(term, id, true);
   }
   if (IsLeading(term)) {
     watched_workers_.erase(id);
--- /dev/null
+++ b/src/node/renewal.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+#include "jobs/scheduler.h"
+
+/// When a leader asks a worker for its next report. Each report costs the
+/// leader as much processor time as starting a task, and a worker at work ends
+/// a run several times a second.
+namespace hemlockward::node {
+
+enum class RenewalStep : std::uint8_t {
+  kRest,             ///< Nothing runs there and nothing is to be confirmed.
+  kAwaitPermission,  ///< The leader may send no orders now.
+  kAwaitCommit,      ///< Reported ends are acknowledged once committed.
+  kRequest,
+};
+
+/// `commit_wait_ends`: time from which the report is requested even if reported
+/// ends are still uncommitted, because the request also renews the lease.
+inline RenewalStep NextRenewalStep(const jobs::Worker& worker, bool may_send,
+                                   base::Millis commit_wait_ends,
+                                   base::Millis now) {
+  const bool wanted =
+      !worker.adopted || worker.unresponsive || !worker.runs.empty() ||
+      worker.reported_end_number > worker.confirmed_end_number;
+  if (worker.ended || !wanted || worker.entry.address.empty()) {
+    return RenewalStep::kRest;
+  }
+  if (!may_send) return RenewalStep::kAwaitPermission;
+  const bool committed =
+      worker.reported_end_number <= worker.committed_end_number;
+  if (!committed && now < commit_wait_ends) return RenewalStep::kAwaitCommit;
+  return RenewalStep::kRequest;
+}
+
+}  // namespace hemlockward::node
