A plan visits each worker once and reads the remaining work from the job

Cause: each plan walked all workers once a pool, recomputed chain and work of every job, built the name of a step for each try, and scanned the pool anew for every job of a backlog that had no room. Change: workers are grouped by pool in one pass; a job's remaining chain and work change with its tasks; a need for which no worker had room isn't tried again in the same plan, nor a larger one; paces are looked at only where a serving task runs.

No functional change

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -60,29 +60,16 @@
   }
 };
 
-// Returns the remaining work in core-ms, by the client's estimates.
-double RemainingWork(const Job& job) {
-  double work = 0;
-  for (const Occurrence& occurrence : job.occurrences) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const StepSpec& spec = job.spec.steps[i];
-      const int left = spec.task_count - occurrence.steps[i].done;
-      work += StepWork(spec, left);
-    }
-  }
-  return work;
-}
-
 Urgency UrgencyOf(const Job& job, const Queue& queue, JobOrder order,
                   Millis now) {
   Urgency urgency;
   urgency.long_running = job.long_running;
   urgency.priority = queue.priority;
-  const Millis slack = job.objective - now - RemainingChain(job);
+  const Millis slack = job.objective - now - job.remaining_chain;
   urgency.late = slack.count < 0;
   switch (order) {
     case JobOrder::kSmallestFirst:
-      urgency.rank = RemainingWork(job);
+      urgency.rank = job.remaining_work;
       break;
     case JobOrder::kLeastSlack:
       urgency.rank = static_cast<double>(slack.count);
@@ -202,19 +189,28 @@
 }
 
 Worker* Scheduler::ChooseWorker(const Job& job, const Queue& queue,
-                                const TaskId& id, std::vector<Worker*>& pool,
-                                Orders& orders, Millis now) {
+                                const TaskId& id, Pool& pool, Orders& orders,
+                                Millis now) {
   const StepSpec& step = job.spec.steps[id.step];
+  Resources need = step.need;
+  if (step.fills) need.cpu_milli = 0;
+  const bool unplaceable =
+      std::any_of(pool.unplaceable.begin(), pool.unplaceable.end(),
+                  [&need](const Resources& it) { return it.Fits(need); });
+  if (unplaceable) return nullptr;
   const Task& task =
       job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
-  const std::string name = id.StepName();
+  const bool needs_name = queue.needs_tickets || step.max_per_worker > 0;
+  const std::string name = needs_name ? id.StepName() : std::string();
+  const bool restricted = needs_name || !step.required_label.empty();
   for (const bool avoid : {true, false}) {
     if (!avoid && task.avoid.empty()) break;
     Worker* best = nullptr;
     std::int64_t best_score = 0;
-    for (Worker* it : pool) {
+    for (Worker* it : pool.workers) {
       if (!CanHost(step, name, task, *it, avoid)) continue;
-      if (queue.needs_tickets && !TicketFor(name, *it, orders, pool, now)) {
+      if (queue.needs_tickets &&
+          !TicketFor(name, *it, orders, pool.workers, now)) {
         continue;
       }
       // Prefer the fullest worker; avoid workers far from the data or awaiting
@@ -237,12 +233,12 @@
     }
     if (best) return best;
   }
+  if (!restricted) pool.unplaceable.push_back(need);
   return nullptr;
 }
 
 bool Scheduler::StartTask(Job& job, const Queue& queue, const TaskId& id,
-                          int number, std::vector<Worker*>& pool,
-                          Orders& orders, Millis now) {
+                          int number, Pool& pool, Orders& orders, Millis now) {
   Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
   if (!worker) return false;
   StartOrder order;
@@ -253,7 +249,8 @@
   order.checkpoint =
       job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
   if (queue.needs_tickets) {
-    order.ticket = *TicketFor(id.StepName(), *worker, orders, pool, now);
+    order.ticket =
+        *TicketFor(id.StepName(), *worker, orders, pool.workers, now);
   }
   AddRun(*worker, job, id, number, RunPhase::kSent, now);
   RecordLease(*worker, now);
@@ -264,8 +261,7 @@
 
 // Starts all members of the gang or none; they share one run number.
 bool Scheduler::PlanGang(Job& job, const Queue& queue, int occurrence, int step,
-                         std::vector<Worker*>& pool, Orders& orders,
-                         Millis now) {
+                         Pool& pool, Orders& orders, Millis now) {
   Step& state = job.occurrences[occurrence].steps[step];
   int number = 0;
   std::string checkpoint;
@@ -285,14 +281,15 @@
       if (it != worker->runs.end()) EndRun(*worker, it, now);
     }
     orders.starts.resize(first);
+    // The gang's workers have room again.
+    pool.unplaceable.clear();
     return false;
   }
   return true;
 }
 
-bool Scheduler::PlanJob(Job& job, const Queue& queue,
-                        std::vector<Worker*>& pool, Orders& orders, Millis now,
-                        WallMillis wall) {
+bool Scheduler::PlanJob(Job& job, const Queue& queue, Pool& pool,
+                        Orders& orders, Millis now, WallMillis wall) {
   bool all = true;
   const bool earlier_runs_settled =
       !job.earlier_term || !IsAdoptionPending(job, now);
@@ -329,29 +326,19 @@
   return all;
 }
 
-void Scheduler::PlanPool(const std::string& service, std::vector<Job*>& jobs,
-                         Orders& orders, Millis now, WallMillis wall) {
-  std::vector<Worker*> pool;
-  std::vector<Worker*> ejected;
-  for (auto& [id, worker] : workers_) {
-    if (worker.entry.service != service) continue;
-    const bool usable = worker.listed && !worker.ended && worker.adopted &&
-                        worker.stored && !worker.entry.draining &&
-                        !worker.reserved && !worker.unresponsive &&
-                        now >= worker.refused_until;
-    if (!usable) continue;
-    (now < worker.ejected_until ? ejected : pool).push_back(&worker);
-  }
+void Scheduler::PlanPool(Pool& pool, Orders& orders, Millis now,
+                         WallMillis wall) {
   // When most workers of a pool are ejected, the jobs are the more likely
   // cause.
-  if (ejected.size() > pool.size()) {
-    pool.insert(pool.end(), ejected.begin(), ejected.end());
+  if (pool.ejected.size() > pool.workers.size()) {
+    pool.workers.insert(pool.workers.end(), pool.ejected.begin(),
+                        pool.ejected.end());
   }
-  if (pool.empty()) return;
+  if (pool.workers.empty()) return;
   std::vector<std::pair<Urgency, Job*>> order;
-  for (Job* it : jobs) {
-    const Queue* queue = QueueOf(*it);
-    order.emplace_back(UrgencyOf(*it, *queue, settings_.order, now), it);
+  order.reserve(pool.jobs.size());
+  for (Job* it : pool.jobs) {
+    order.emplace_back(UrgencyOf(*it, *QueueOf(*it), settings_.order, now), it);
   }
   // Break ties by id, so that simulations do not depend on memory addresses.
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
@@ -440,17 +427,26 @@
       worker.unresponsive = true;
     }
     if (worker.entry.draining && worker.listed) Evacuate(worker);
-    if (!worker.runs.empty()) AdjustPaces(worker, orders, now);
+    if (worker.serving_runs > 0) AdjustPaces(worker, orders, now);
   }
   PlanStops(orders, now);
   if (!may_start) return orders;
-  std::map<std::string, std::vector<Job*>> pools;
+  std::map<std::string_view, Pool> pools;
   for (Job* it : active_jobs_) {
-    if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].push_back(it);
+    if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].jobs.push_back(it);
   }
-  for (auto& [service, jobs] : pools) {
-    PlanPool(service, jobs, orders, now, wall);
+  for (auto& [id, worker] : workers_) {
+    const bool usable = worker.listed && !worker.ended && worker.adopted &&
+                        worker.stored && !worker.entry.draining &&
+                        !worker.reserved && !worker.unresponsive &&
+                        now >= worker.refused_until;
+    if (!usable) continue;
+    const auto it = pools.find(worker.entry.service);
+    if (it == pools.end()) continue;
+    const bool ejected = now < worker.ejected_until;
+    (ejected ? it->second.ejected : it->second.workers).push_back(&worker);
   }
+  for (auto& [service, pool] : pools) PlanPool(pool, orders, now, wall);
   return orders;
 }
 
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -109,7 +109,8 @@
   if (step.fills) run.need.cpu_milli = 0;
   run.sent = run.settled_from = run.progress_at = now;
   worker.used += run.need;
-  ++worker.per_step[id.StepName()];
+  if (step.max_per_worker > 0) ++worker.per_step[id.StepName()];
+  if (step.tail_target.count > 0) ++worker.serving_runs;
   worker.runs[id] = run;
   ++run_count_;
   ++job.active_runs;
@@ -124,10 +125,12 @@
                        Millis now) {
   Run& run = it->second;
   worker.used -= run.need;
-  const auto count = worker.per_step.find(run.task.StepName());
-  if (count != worker.per_step.end() && --count->second <= 0) {
-    worker.per_step.erase(count);
+  const StepSpec& step = run.job->spec.steps[run.task.step];
+  if (step.max_per_worker > 0) {
+    const auto count = worker.per_step.find(run.task.StepName());
+    if (--count->second <= 0) worker.per_step.erase(count);
   }
+  if (step.tail_target.count > 0) --worker.serving_runs;
   --run_count_;
   --run.job->active_runs;
   Task& task = TaskOf(*run.job, run.task);
@@ -342,6 +345,7 @@
     ++step.done;
   }
   if (step.done == before) return;
+  UpdateRemaining(job);
   if (!HasEnded(job.state)) unsaved_jobs_.insert(&job);
   if (step.tasks[id.index].active_runs > 0) StopAll(job);
   if (step.done < spec.task_count) return;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -43,20 +43,22 @@
 
 }  // namespace
 
-Millis RemainingChain(const Job& job) {
-  Millis longest{0};
+void UpdateRemaining(Job& job) {
+  job.remaining_chain = {0};
+  job.remaining_work = 0;
+  std::vector<Millis> ends;
   for (const Occurrence& occurrence : job.occurrences) {
-    std::vector<Millis> ends;
+    ends.clear();
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const StepSpec& spec = job.spec.steps[i];
+      const int left = spec.task_count - occurrence.steps[i].done;
       Millis start{0};
       for (const int it : spec.after) start = std::max(start, ends[it]);
-      const bool done = occurrence.steps[i].done == spec.task_count;
-      ends.push_back(done ? start : start + spec.estimate);
-      longest = std::max(longest, ends.back());
+      ends.push_back(left == 0 ? start : start + spec.estimate);
+      job.remaining_chain = std::max(job.remaining_chain, ends.back());
+      job.remaining_work += StepWork(spec, left);
     }
   }
-  return longest;
 }
 
 double StepWork(const StepSpec& step, int tasks) {
@@ -139,7 +141,8 @@
   }
   const int count = std::max(1, job->spec.occurrences);
   job->occurrences.assign(static_cast<std::size_t>(count), occurrence);
-  job->chain = RemainingChain(*job);
+  UpdateRemaining(*job);
+  job->chain = job->remaining_chain;
   Job& added = *job;
   if (!demand_since_ && !added.long_running) demand_since_ = now;
   jobs_[added.id] = std::move(job);
@@ -467,6 +470,7 @@
   }
   Job& job = *it->second;
   if (!DecodeProgressRow(value, job)) return false;
+  UpdateRemaining(job);
   job.committed_state = job.state;
   if (HasEnded(job.state)) {
     active_jobs_.erase(&job);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -66,8 +66,10 @@
   std::string source;  ///< Request body of the client, for the store.
   WallMillis accepted_wall{};
   Millis accepted{0};
-  Millis objective{0};  ///< Local time by which the job should complete.
-  Millis chain{0};      ///< Critical path: longest chain of estimates.
+  Millis objective{0};        ///< Local time by which the job should complete.
+  Millis chain{0};            ///< Critical path: longest chain of estimates.
+  Millis remaining_chain{0};  ///< The same of the steps that are not done.
+  double remaining_work = 0;  ///< Of the tasks that are not done, in core-ms.
   JobState state = JobState::kPending;
   /// Last committed state; visible to clients.
   JobState committed_state = JobState::kPending;
@@ -81,8 +83,8 @@
   int occurrences_done = 0;
 };
 
-/// Returns the longest chain of estimates among the steps that are not done.
-Millis RemainingChain(const Job& job);
+/// Recomputes the remaining chain and work of the job from its tasks.
+void UpdateRemaining(Job& job);
 /// Returns the work of `tasks` tasks of the step in core-ms, by the client's
 /// estimate.
 double StepWork(const StepSpec& step, int tasks);
@@ -133,6 +135,7 @@
   /// An order timed out and no report has arrived since.
   bool unresponsive = false;
   bool stops_wanted = false;  ///< At least one run has `stop_wanted` set.
+  int serving_runs = 0;       ///< Runs of tasks with a tail latency target.
   Millis refused_until{0};
   std::int64_t started_at_ms = 0;
   /// Reading of its clock at local time `clock_at`.
@@ -152,7 +155,8 @@
   std::string last_failed_job;
   Millis ejected_until{0};
   Millis idle_since{0};
-  /// Number of runs by step name "JOB.K.STEP".
+  /// Number of runs by step name "JOB.K.STEP", for steps with a limit per
+  /// worker.
   std::map<std::string, int, std::less<>> per_step;
 };
 
@@ -336,7 +340,14 @@
     bool asked = false;
     bool allowed = false;
   };
-  struct Placement;
+  /// Jobs of one pool and its usable workers, in one plan.
+  struct Pool {
+    std::vector<Job*> jobs;
+    std::vector<Worker*> workers;
+    std::vector<Worker*> ejected;
+    /// Needs for which no worker had room. Room only shrinks within a plan.
+    std::vector<Resources> unplaceable;
+  };
 
   Job& AddJob(std::string id, std::string queue, JobSpec spec, Millis now);
   [[nodiscard]] const Queue* QueueOf(const Job& job) const;
@@ -356,18 +367,17 @@
   void CheckProgress(Worker& worker, Run& run, Millis now);
   void AdjustPaces(Worker& worker, Orders& orders, Millis now);
   void PlanStops(Orders& orders, Millis now);
-  void PlanPool(const std::string& service, std::vector<Job*>& jobs,
-                Orders& orders, Millis now, WallMillis wall);
-  bool PlanJob(Job& job, const Queue& queue, std::vector<Worker*>& pool,
-               Orders& orders, Millis now, WallMillis wall);
+  void PlanPool(Pool& pool, Orders& orders, Millis now, WallMillis wall);
+  bool PlanJob(Job& job, const Queue& queue, Pool& pool, Orders& orders,
+               Millis now, WallMillis wall);
   bool PlanGang(Job& job, const Queue& queue, int occurrence, int step,
-                std::vector<Worker*>& pool, Orders& orders, Millis now);
+                Pool& pool, Orders& orders, Millis now);
   bool StartTask(Job& job, const Queue& queue, const TaskId& id, int number,
-                 std::vector<Worker*>& pool, Orders& orders, Millis now);
+                 Pool& pool, Orders& orders, Millis now);
   [[nodiscard]] bool IsStepReady(const Job& job, int occurrence, int step,
                                  WallMillis wall) const;
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
-                       std::vector<Worker*>& pool, Orders& orders, Millis now);
+                       Pool& pool, Orders& orders, Millis now);
   [[nodiscard]] bool CanHost(const StepSpec& step, const std::string& step_name,
                              const Task& task, const Worker& worker,
                              bool avoid) const;
--- a/tests/node_renewal_test.cc
+++ b/tests/node_renewal_test.cc
@@ -2,10 +2,10 @@
 // worker's ends, which then asked for a report that only repeated them: 1.7
 // reports for each run on a busy fleet.
 
-#include "node/renewal.h"
-
 #include <gtest/gtest.h>
 
+#include "node/renewal.h"
+
 namespace hemlockward::node {
 namespace {
 
