Leader checks carry a part of the peers; only likely successors check often

Besides, each page of the workers' feed walked all workers. Change: PeerTable, a class of its own: a report holds 16 peers or an eighth, in turn; only peers in contact lately are reported, so nodes that have gone stop circulating; a new node gets all. Ranks from the eighth on check every 0.9 s, or at once when a request can't be forwarded. Only changed workers are watched.

No functional change in the policies

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -22,9 +22,9 @@
 constexpr Millis kForwardTimeout{900};
 /// The same when the leader doesn't answer checks and may have failed.
 constexpr Millis kSilentLeaderTimeout{400};
-/// The leader is reachable if it answered within this time; followers check it
-/// every 0.3 s.
-constexpr Millis kRecentLeaderAge{800};
+/// The leader is reachable if it answered a check or a request within this
+/// time.
+constexpr Millis kRecentLeaderAge = kRelaxedCheckInterval + Millis{500};
 /// How long a job submission waits for a leader before it is rejected.
 constexpr Millis kMaxLeaderWait{2200};
 /// A stopping node answers requests at least this long before its stop limit.
@@ -143,9 +143,16 @@
       *may_have_run = true;
     }
     holder_gone_ = holder_gone_ || answer.error().refused;
+    check_signal_.Notify();
     co_return reply;
   }
   if (!answer->__isset.job_reply) co_return reply;
+  const bool same_holder = lease_.lease && lease_.lease->address == address;
+  if (same_holder && answer->job_reply.status != 0) {
+    holder_heard_ = clock_.Now();
+  } else {
+    check_signal_.Notify();
+  }
   reply.status = answer->job_reply.status;
   reply.body = std::move(answer->job_reply.body);
   reply.retry_after_s = answer->job_reply.retry_after_s;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -59,7 +59,7 @@
   for (const std::string& id : removed) {
     scheduler_.RemoveWorker(id);
   }
-  WatchWorkers(term);
+  WatchAllWorkers(term);
   co_return true;
 }
 
@@ -80,19 +80,21 @@
   scheduler_.UpsertWorker(*entry, now);
 }
 
-// Starts a coroutine for each worker that has none.
-void NodeProcess::WatchWorkers(std::uint64_t term) {
-  for (const auto& [id, worker] : scheduler_.workers()) {
-    if (!watched_workers_.insert(id).second) continue;
-    auto& signal = worker_signals_[id];
-    if (!signal) signal = std::make_unique<kernel::Signal>(pool_.context());
-    pool_.Spawn("hold", RenewWorkerLoop(term, id));
-  }
+// Starts a coroutine for the worker if it is known and has none.
+void NodeProcess::WatchWorker(std::uint64_t term, const std::string& id) {
+  if (!scheduler_.FindWorker(id) || !watched_workers_.insert(id).second) return;
+  auto& signal = worker_signals_[id];
+  if (!signal) signal = std::make_unique<kernel::Signal>(pool_.context());
+  pool_.Spawn("hold", RenewWorkerLoop(term, id));
+}
+
+void NodeProcess::WatchAllWorkers(std::uint64_t term) {
+  for (const auto& [id, worker] : scheduler_.workers()) WatchWorker(term, id);
 }
 
 Awaitable<void> NodeProcess::FollowWorkers(std::uint64_t term) {
   bool read = false;
-  WatchWorkers(term);
+  WatchAllWorkers(term);
   while (IsLeading(term)) {
     if (!read) {
       read = co_await ReadWorkers(term);
@@ -113,9 +115,11 @@
       }
       continue;
     }
-    for (const platform::StoreRow& it : page->rows) ApplyWorkerRow(it);
+    for (const platform::StoreRow& it : page->rows) {
+      ApplyWorkerRow(it);
+      WatchWorker(term, it.key);
+    }
     workers_version_ = std::max(workers_version_, page->version);
-    WatchWorkers(term);
     RequestPlan();
   }
 }
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -24,19 +24,16 @@
 constexpr Millis kConfigForwardDelay{400};
 /// The holder's estimate of the store's clock may lag by this much.
 constexpr Millis kStoreClockSlack{100};
-constexpr Millis kCheckInterval{300};
+/// Requests that can't be forwarded don't make checks more frequent than this.
+constexpr Millis kMinCheckPause{100};
 constexpr Millis kReadInterval{250};
 constexpr Millis kRetryPause{100};
 /// Candidates of lower priority read less often: the pause between reads grows
 /// by one interval for every so many ranks.
 constexpr int kRanksPerExtraInterval = 4;
 constexpr Millis kMaxReadPause{700};
-/// A peer without contact for this long is forgotten and not reported to
-/// others.
-constexpr Millis kPeerExpiry = base::Seconds(30);
-/// A follower that contacted the leader within this time counts as alive;
-/// followers do so every `kCheckInterval`.
-constexpr Millis kActivePeerAge = base::Seconds(1);
+/// A follower that contacted the leader within this time counts as alive.
+constexpr Millis kActivePeerAge = kRelaxedCheckInterval + Millis{300};
 /// Random delay of a candidate, so that usually only one tries to take the
 /// lease.
 constexpr std::int64_t kMaxJitterMs = 60;
@@ -70,7 +67,7 @@
     std::optional<Millis> since_last;
     if (last_handover_) since_last = now - *last_handover_;
     const Candidate self{settings_.peer, IsSmall()};
-    const auto peers = TakeoverCandidates(kActivePeerAge);
+    const auto peers = peers_.Candidates(now, kActivePeerAge, true, {});
     if (!ShouldHandOver(self, peers, now - lease_taken_, since_last)) continue;
     last_handover_ = now;
     co_await HandOver("a node with more resources is available",
@@ -82,7 +79,9 @@
   const bool known = lease_.lease && !lease_.lease->released &&
                      lease_.lease->incarnation != incarnation_;
   if (known && co_await IsHolderRenewing()) {
-    co_await kernel::Sleep(kCheckInterval);
+    co_await kernel::Sleep(kMinCheckPause);
+    const Millis interval = CheckInterval(NextRank());
+    co_await check_signal_.Wait(interval - kMinCheckPause);
     co_return;
   }
   const Millis asked = clock_.Now();
@@ -92,7 +91,7 @@
   if (!page) {
     heartbeat_monitor_.OnReadFailed();
     // Another node may know who leads.
-    const std::string peer = RandomPeer();
+    const std::string peer = peers_.At(random_());
     bool refused = false;
     if (!peer.empty()) co_await ExchangeLeaderCheck(peer, &refused);
     co_await kernel::Sleep(kRetryPause);
@@ -121,9 +120,8 @@
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
   const Candidate self{settings_.peer, IsSmall()};
-  const auto peers = TakeoverCandidates(kPeerExpiry);
-  const int rank =
-      TakeoverRank(self, peers, lease_.lease ? lease_.lease->term : 0);
+  const auto peers = TakeoverCandidates();
+  const int rank = NextRank();
   const Millis wait = TakeoverDelay(
       rank, ShouldWaitForLargerPeers(self, peers, now - started_));
   const bool silent = heartbeat_monitor_.IsSilent(
@@ -189,7 +187,7 @@
 }
 
 peer::gen::LeaderCheck NodeProcess::BuildLeaderCheck(
-    std::int64_t config_version) {
+    std::int64_t config_version, bool all_peers) {
   peer::gen::LeaderCheck check;
   const Millis now = clock_.Now();
   check.__set_incarnation(static_cast<std::int64_t>(incarnation_));
@@ -204,13 +202,11 @@
   if (lease_.lease) check.__set_lease(EncodeLease(*lease_.lease));
   check.__set_beat_version(static_cast<std::int64_t>(heartbeat_version_));
   check.__set_sender(settings_.peer);
-  std::vector<std::string> peers;
+  const std::vector<std::string> peers = peers_.NextReport(now, all_peers);
   std::vector<std::string> small;
   if (IsSmall()) small.push_back(settings_.peer);
-  for (const auto& [address, peer] : peers_) {
-    if (now - peer.last_heard >= kPeerExpiry) continue;
-    peers.push_back(address);
-    if (peer.small) small.push_back(address);
+  for (const std::string& it : peers) {
+    if (peers_.IsSmall(it)) small.push_back(it);
   }
   check.__set_peers(peers);
   check.__set_small(small);
@@ -218,30 +214,21 @@
 }
 
 // Adopts a newer configuration or lease that a peer reports.
-void NodeProcess::ApplyLeaderCheck(const peer::gen::LeaderCheck& check) {
+bool NodeProcess::ApplyLeaderCheck(const peer::gen::LeaderCheck& check) {
   const Millis now = clock_.Now();
-  if (!check.sender.empty()) peers_[check.sender].last_heard = now;
-  for (const std::string& it : check.peers) {
-    if (it != settings_.peer) peers_.try_emplace(it, Peer{now});
-  }
-  for (const std::string& it : check.small) {
-    if (const auto peer = peers_.find(it); peer != peers_.end()) {
-      peer->second.small = true;
-    }
-  }
-  std::erase_if(peers_, [&](const auto& it) {
-    return now - it.second.last_heard >= kPeerExpiry;
-  });
+  const bool is_new = peers_.OnContact(check.sender, now);
+  peers_.OnReport(check.peers, check.small, now);
+  peers_.Expire(now);
   if (!check.config.empty()) {
     ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config});
   }
   const auto lease = DecodeLease(check.lease);
-  if (!lease) return;
+  if (!lease) return is_new;
   const bool newer = !lease_.lease || lease->term > lease_.lease->term ||
                      (lease->term == lease_.lease->term && lease->released);
-  if (!newer || lease->incarnation == incarnation_) return;
+  if (!newer || lease->incarnation == incarnation_) return is_new;
   if (leads_) {
-    if (lease->term <= term_) return;
+    if (lease->term <= term_) return is_new;
     StepDown("a peer knows a newer leader");
   }
   LogLine(LogLevel::kInfo, "leader_heard_of")
@@ -251,20 +238,19 @@
   lease_ = {};
   lease_.lease = lease;
   holder_gone_ = holder_stalled_ = holder_stopped_ = false;
+  return is_new;
 }
 
-// Peers with contact within `max_contact_age`, except the last holder.
-std::vector<Candidate> NodeProcess::TakeoverCandidates(
-    Millis max_contact_age) const {
-  std::vector<Candidate> peers;
-  const Millis now = clock_.Now();
-  for (const auto& [address, peer] : peers_) {
-    const bool holder = lease_.lease && lease_.lease->address == address;
-    if (!holder && now - peer.last_heard < max_contact_age) {
-      peers.push_back({address, peer.small});
-    }
-  }
-  return peers;
+std::vector<Candidate> NodeProcess::TakeoverCandidates() const {
+  const std::string_view holder =
+      lease_.lease ? std::string_view(lease_.lease->address) : "";
+  return peers_.Candidates(clock_.Now(), kPeerExpiry, false, holder);
+}
+
+int NodeProcess::NextRank() const {
+  const Candidate self{settings_.peer, IsSmall()};
+  return TakeoverRank(self, TakeoverCandidates(),
+                      lease_.lease ? lease_.lease->term : 0);
 }
 
 bool NodeProcess::IsSmall() const {
@@ -272,23 +258,13 @@
          settings_.link_mbps < kMinLeaderLinkMbps;
 }
 
-std::string NodeProcess::RandomPeer() {
-  if (peers_.empty()) return {};
-  auto it = peers_.begin();
-  std::advance(it, static_cast<std::ptrdiff_t>(random_() % peers_.size()));
-  return it->first;
-}
-
 Awaitable<bool> NodeProcess::ExchangeLeaderCheck(std::string address,
                                                  bool* refused) {
   peer::gen::Message message;
   // The configuration is sent only to a peer that has reported an older one.
-  const auto peer = peers_.find(address);
   const auto known = static_cast<std::int64_t>(config_.version);
-  const bool has_reported_version =
-      peer != peers_.end() && peer->second.config_version;
-  message.__set_leader_check(BuildLeaderCheck(
-      has_reported_version ? *peer->second.config_version : known));
+  message.__set_leader_check(
+      BuildLeaderCheck(peers_.ConfigVersion(address).value_or(known), false));
   auto answer = co_await peer_client_.Call(address, message, kCheckTimeout);
   if (!answer) {
     *refused = answer.error().refused;
@@ -304,7 +280,7 @@
       static_cast<std::uint64_t>(reply.beat_version);
   peer_status_.renewal_age_ms = reply.renewal_age_ms;
   peer_status_.commit_ms = reply.commit_ms;
-  peers_[address].config_version = reply.config_version;
+  peers_.SetConfigVersion(address, reply.config_version);
   co_return true;
 }
 
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -51,6 +51,8 @@
       http_(pool),
       platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
       peer_client_(pool),
+      peers_(settings_.peer),
+      check_signal_(pool.context()),
       commit_signal_(pool.context()),
       committed_signal_(pool.context()),
       scheduler_({settings_.worker_lease}),
@@ -158,9 +160,9 @@
     peer::gen::Message message) {
   peer::gen::Message answer;
   if (message.__isset.leader_check) {
-    ApplyLeaderCheck(message.leader_check);
+    const bool is_new = ApplyLeaderCheck(message.leader_check);
     answer.__set_leader_check(
-        BuildLeaderCheck(message.leader_check.config_version));
+        BuildLeaderCheck(message.leader_check.config_version, is_new));
     co_return answer;
   }
   if (!message.__isset.job_call) {
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -17,6 +17,7 @@
 #include "kernel/signal.h"
 #include "kernel/worker_pool.h"
 #include "node/lease.h"
+#include "node/peer_table.h"
 #include "node/settings.h"
 #include "peer/transport.h"
 #include "platform/client.h"
@@ -56,12 +57,6 @@
   bool may_have_run = false;  ///< With status 0: the call may take effect.
 };
 
-struct Peer {
-  Millis last_heard{0};
-  std::optional<std::int64_t> config_version;  ///< As last reported.
-  bool small = false;
-};
-
 /// A transaction that is being committed, possibly by several sends.
 struct PendingCommit {
   explicit PendingCommit(boost::asio::io_context& context)
@@ -121,12 +116,15 @@
   Awaitable<bool> IsHolderRenewing();
   /// Exchanges leader and configuration with a peer; false if it didn't answer.
   Awaitable<bool> ExchangeLeaderCheck(std::string address, bool* refused);
+  /// `all_peers`: the receiver is new and gets all peers in one report.
   [[nodiscard]] peer::gen::LeaderCheck BuildLeaderCheck(
-      std::int64_t config_version);
-  void ApplyLeaderCheck(const peer::gen::LeaderCheck& check);
-  std::string RandomPeer();
-  [[nodiscard]] std::vector<Candidate> TakeoverCandidates(
-      Millis max_contact_age) const;
+      std::int64_t config_version, bool all_peers);
+  /// Returns true if the sender was unknown.
+  bool ApplyLeaderCheck(const peer::gen::LeaderCheck& check);
+  /// Peers other than the last holder of the lease.
+  [[nodiscard]] std::vector<Candidate> TakeoverCandidates() const;
+  /// This node's rank among the candidates for the next term.
+  [[nodiscard]] int NextRank() const;
   [[nodiscard]] bool IsSmall() const;
   Awaitable<void> TakeLease(const LeaseView& view, std::int64_t store_ms);
   /// Estimate of the store's clock, in ms; 0: not known yet.
@@ -177,7 +175,8 @@
   Awaitable<void> FollowWorkers(std::uint64_t term);
   Awaitable<bool> ReadWorkers(std::uint64_t term);
   void ApplyWorkerRow(const platform::StoreRow& row);
-  void WatchWorkers(std::uint64_t term);
+  void WatchWorker(std::uint64_t term, const std::string& id);
+  void WatchAllWorkers(std::uint64_t term);
   Awaitable<void> RenewWorkerLoop(std::uint64_t term, std::string id);
   /// Renews the worker's lease and reads one report; with `may_wait` the worker
   /// may delay its report until a run ends.
@@ -220,7 +219,9 @@
   bool holder_stopped_ = false;       ///< It stepped down or was replaced.
   bool holder_stalled_ = false;       ///< It reported a late renewal.
   std::optional<Millis> free_since_;  ///< When the lease was first seen free.
-  std::map<std::string, Peer> peers_;
+  PeerTable peers_;
+  /// A request couldn't be forwarded: the leader is checked at once.
+  kernel::Signal check_signal_;
   PeerStatus peer_status_;
   bool leads_ = false;
   bool loaded_ = false;
