The strongest node leads, also where all are weak

Cause: nodes were either small or not, by fixed limits; where all fell below, any of them led. Change: candidates rank by steps of processor and link (LeaderStrength), and a leader hands over to a stronger node. Ruled out: leases too short (each was renewed in time), answers misread.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -37,11 +37,6 @@
 /// Random delay of a candidate, so that usually only one tries to take the
 /// lease.
 constexpr std::int64_t kMaxJitterMs = 60;
-/// Nodes with less CPU or bandwidth leave the lease to larger ones: a leader
-/// sends each task's payload, up to 4 kB, 1,500 times a second in the largest
-/// deployments.
-constexpr double kMinLeaderCpuShare = 0.2;
-constexpr double kMinLeaderLinkMbps = 50;
 /// A heartbeat's time may lag by one slow response of the store (0.55 s at 1/60
 /// of its speed), because the holder learns the store's clock from responses.
 constexpr Millis kHeartbeatTimeSlack{600};
@@ -66,12 +61,11 @@
     const Millis now = clock_.Now();
     std::optional<Millis> since_last;
     if (last_handover_) since_last = now - *last_handover_;
-    const Candidate self{settings_.peer, IsSmall()};
+    const Candidate self = Self();
     const auto peers = peers_.Candidates(now, kActivePeerAge, true, {});
     if (!ShouldHandOver(self, peers, now - lease_taken_, since_last)) continue;
     last_handover_ = now;
-    co_await HandOver("a node with more resources is available",
-                      now + kCommitTimeout);
+    co_await HandOver("a stronger node is available", now + kCommitTimeout);
   }
 }
 
@@ -119,11 +113,11 @@
   heartbeat_monitor_.OnRead(view, now, std::max(age, Millis{0}));
   const bool free = !view.lease || view.lease->released ||
                     view.lease->incarnation == incarnation_;
-  const Candidate self{settings_.peer, IsSmall()};
+  const Candidate self = Self();
   const auto peers = TakeoverCandidates();
   const int rank = NextRank();
   const Millis wait = TakeoverDelay(
-      rank, ShouldWaitForLargerPeers(self, peers, now - started_));
+      rank, ShouldWaitForStrongerPeers(self, peers, now - started_));
   const bool silent = heartbeat_monitor_.IsSilent(
       now, RequiredSilence(holder_stalled_, reading, wait));
   if (!free && !holder_gone_) {
@@ -203,13 +197,11 @@
   check.__set_beat_version(static_cast<std::int64_t>(heartbeat_version_));
   check.__set_sender(settings_.peer);
   const std::vector<std::string> peers = peers_.NextReport(now, all_peers);
-  std::vector<std::string> small;
-  if (IsSmall()) small.push_back(settings_.peer);
-  for (const std::string& it : peers) {
-    if (peers_.IsSmall(it)) small.push_back(it);
-  }
+  std::map<std::string, std::int32_t> strengths;
+  strengths[settings_.peer] = Self().strength;
+  for (const std::string& it : peers) strengths[it] = peers_.Strength(it);
   check.__set_peers(peers);
-  check.__set_small(small);
+  check.__set_strengths(strengths);
   return check;
 }
 
@@ -217,7 +209,7 @@
 bool NodeProcess::ApplyLeaderCheck(const peer::gen::LeaderCheck& check) {
   const Millis now = clock_.Now();
   const bool is_new = peers_.OnContact(check.sender, now);
-  peers_.OnReport(check.peers, check.small, now);
+  peers_.OnReport(check.peers, check.strengths, now);
   peers_.Expire(now);
   if (!check.config.empty()) {
     ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config});
@@ -248,14 +240,14 @@
 }
 
 int NodeProcess::NextRank() const {
-  const Candidate self{settings_.peer, IsSmall()};
+  const Candidate self = Self();
   return TakeoverRank(self, TakeoverCandidates(),
                       lease_.lease ? lease_.lease->term : 0);
 }
 
-bool NodeProcess::IsSmall() const {
-  return settings_.cpu_share < kMinLeaderCpuShare ||
-         settings_.link_mbps < kMinLeaderLinkMbps;
+Candidate NodeProcess::Self() const {
+  return {settings_.peer,
+          LeaderStrength(settings_.cpu_share, settings_.link_mbps)};
 }
 
 Awaitable<bool> NodeProcess::ExchangeLeaderCheck(std::string address,
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 #include <tuple>
 
 #include "base/random.h"
@@ -97,9 +98,17 @@
 
 namespace {
 
-bool HasLargerNode(std::span<const Candidate> peers) {
-  return std::any_of(peers.begin(), peers.end(),
-                     [](const Candidate& it) { return !it.small; });
+// Weaker nodes wait for stronger ones after a start. A leader sends each task's
+// payload, up to 4 kB, 1,500 times a second in the largest deployments.
+constexpr int kUsualStrength = 2;
+// Processor and link of the lowest step.
+constexpr double kStepCpuShare = 0.05;
+constexpr double kStepLinkMbps = 12.5;
+
+bool HasStrongerNode(std::span<const Candidate> peers, int strength) {
+  return std::any_of(
+      peers.begin(), peers.end(),
+      [strength](const Candidate& it) { return it.strength > strength; });
 }
 
 }  // namespace
@@ -112,10 +121,17 @@
                                     : CommitStatus::kStoreSlow;
 }
 
+int LeaderStrength(double cpu_share, double link_mbps) {
+  const double steps =
+      std::min(cpu_share / kStepCpuShare, link_mbps / kStepLinkMbps);
+  return steps < 1 ? 0 : static_cast<int>(std::log2(steps));
+}
+
 int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
                  std::uint64_t term) {
   const auto place = [term](const Candidate& it) {
-    return std::tuple(it.small, base::StableHash(it.address, term), it.address);
+    return std::tuple(-it.strength, base::StableHash(it.address, term),
+                      it.address);
   };
   const auto own = place(self);
   return static_cast<int>(
@@ -124,19 +140,22 @@
       }));
 }
 
-bool ShouldWaitForLargerPeers(const Candidate& self,
-                              std::span<const Candidate> peers, Millis up) {
-  return self.small && up < kPeerDiscoveryPeriod && !HasLargerNode(peers);
+bool ShouldWaitForStrongerPeers(const Candidate& self,
+                                std::span<const Candidate> peers, Millis up) {
+  return self.strength < kUsualStrength && up < kPeerDiscoveryPeriod &&
+         !HasStrongerNode(peers, self.strength);
 }
 
-Millis TakeoverDelay(int rank, bool expects_larger) {
+Millis TakeoverDelay(int rank, bool expects_stronger) {
   return kTakeoverRankDelay * rank +
-         (expects_larger ? kSmallNodeDelay : Millis{0});
+         (expects_stronger ? kWeakNodeDelay : Millis{0});
 }
 
 bool ShouldHandOver(const Candidate& self, std::span<const Candidate> peers,
                     Millis led, std::optional<Millis> since_last) {
-  if (!self.small || led < kMinLeadTime || !HasLargerNode(peers)) return false;
+  if (led < kMinLeadTime || !HasStrongerNode(peers, self.strength)) {
+    return false;
+  }
   return !since_last || *since_last >= kMinHandoverInterval;
 }
 
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -45,17 +45,17 @@
 /// Delay between candidates of successive ranks, so that they don't all load a
 /// slow store at once. At normal speed a free lease is taken within 10 ms.
 inline constexpr Millis kTakeoverRankDelay{100};
-/// Extra delay of a small node that has just started, because larger nodes may
+/// Extra delay of a weak node that has just started, because stronger ones may
 /// still be starting: the nodes of a deployment start within 0.3 s of each
 /// other (DEPLOY.md), and each start takes 0.6 s.
-inline constexpr Millis kSmallNodeDelay{1500};
+inline constexpr Millis kWeakNodeDelay{1500};
 /// For this long after its start a node may not know all its peers: they
 /// contact the leader every 0.3 s, and a leader is elected within seconds.
 inline constexpr Millis kPeerDiscoveryPeriod = base::Seconds(5);
-/// A small leader keeps the lease at least this long before it hands it over
-/// to a larger node: interrupting a takeover costs more than it gains.
+/// A leader keeps the lease at least this long before it hands it over to a
+/// stronger node: interrupting a takeover costs more than it gains.
 inline constexpr Millis kMinLeadTime = base::Seconds(2);
-/// Minimum time between two handovers by the same node, in case the larger
+/// Minimum time between two handovers by the same node, in case the stronger
 /// nodes can't reach the store: each costs up to 1 s without a leader.
 inline constexpr Millis kMinHandoverInterval = base::Seconds(20);
 /// A holder is not silent until this many reads could have been made at the
@@ -119,24 +119,29 @@
 /// A node that may take the lease.
 struct Candidate {
   std::string address;
-  bool small = false;  ///< Has little CPU or bandwidth; ranks last.
+  int strength = 0;  ///< `LeaderStrength`; the strongest rank first.
 };
 
+/// Each step stands for twice the processor and twice the link: a leader is
+/// bound by the scarcer of the two. Nodes of one step count as equal.
+int LeaderStrength(double cpu_share, double link_mbps);
+
 /// Rank of `self` among the candidates for the term after `term`: the number of
 /// `peers` that precede it. Nodes that know the same peers compute the same
 /// order.
 int TakeoverRank(const Candidate& self, std::span<const Candidate> peers,
                  std::uint64_t term);
 
-/// True for a small node that started `up` ago, is still discovering its peers
-/// and knows no larger one.
-bool ShouldWaitForLargerPeers(const Candidate& self,
-                              std::span<const Candidate> peers, Millis up);
+/// True for a weak node that started `up` ago, is still discovering its peers
+/// and knows no stronger one.
+bool ShouldWaitForStrongerPeers(const Candidate& self,
+                                std::span<const Candidate> peers, Millis up);
 
 /// How long the candidate of `rank` waits before it takes a free lease.
-Millis TakeoverDelay(int rank, bool expects_larger);
+Millis TakeoverDelay(int rank, bool expects_stronger);
 
-/// Whether a node that has led for `led` hands the lease over to a larger node.
+/// Whether a node that has led for `led` hands the lease over to a stronger
+/// node.
 /// `peers` are the nodes that contacted it recently; `since_last` is the time
 /// since its last handover.
 bool ShouldHandOver(const Candidate& self, std::span<const Candidate> peers,
--- a/src/node/peer_table.cc
+++ b/src/node/peer_table.cc
@@ -13,13 +13,14 @@
 }
 
 void PeerTable::OnReport(std::span<const std::string> peers,
-                         std::span<const std::string> small, Millis now) {
+                         const std::map<std::string, int>& strengths,
+                         Millis now) {
   for (const std::string& it : peers) {
     if (it != own_ && !it.empty()) peers_[it].known = now;
   }
-  for (const std::string& it : small) {
-    const auto peer = peers_.find(it);
-    if (peer != peers_.end()) peer->second.small = true;
+  for (const auto& [address, strength] : strengths) {
+    const auto peer = peers_.find(address);
+    if (peer != peers_.end()) peer->second.strength = strength;
   }
 }
 
@@ -59,9 +60,9 @@
   return report;
 }
 
-bool PeerTable::IsSmall(const std::string& address) const {
+int PeerTable::Strength(const std::string& address) const {
   const auto it = peers_.find(address);
-  return it != peers_.end() && it->second.small;
+  return it == peers_.end() ? 0 : it->second.strength;
 }
 
 std::vector<Candidate> PeerTable::Candidates(Millis now, Millis max_age,
@@ -71,7 +72,7 @@
   for (const auto& [address, peer] : peers_) {
     if (address == excluded || (in_contact && !peer.contact)) continue;
     const Millis last = in_contact ? *peer.contact : peer.known;
-    if (now - last < max_age) candidates.push_back({address, peer.small});
+    if (now - last < max_age) candidates.push_back({address, peer.strength});
   }
   return candidates;
 }
--- a/src/node/peer_table.h
+++ b/src/node/peer_table.h
@@ -43,10 +43,9 @@
 
   /// The peer was in contact. Returns true if it was unknown.
   bool OnContact(const std::string& address, Millis now);
-  /// Another node reported these peers; those in `small` lead only as a last
-  /// choice.
+  /// Another node reported these peers and the strengths of some.
   void OnReport(std::span<const std::string> peers,
-                std::span<const std::string> small, Millis now);
+                const std::map<std::string, int>& strengths, Millis now);
   void SetConfigVersion(const std::string& address, std::int64_t version);
   /// Version of the configuration that the peer reported last.
   [[nodiscard]] std::optional<std::int64_t> ConfigVersion(
@@ -56,7 +55,8 @@
   /// Peers to report now; successive reports go through all of them. With
   /// `all`, every peer that was in contact lately.
   std::vector<std::string> NextReport(Millis now, bool all);
-  [[nodiscard]] bool IsSmall(const std::string& address) const;
+  /// 0: unknown.
+  [[nodiscard]] int Strength(const std::string& address) const;
   /// Peers known within `max_age`, except `excluded`. With `in_contact`, only
   /// those that were in contact themselves.
   [[nodiscard]] std::vector<Candidate> Candidates(
@@ -71,7 +71,7 @@
     std::optional<Millis> contact;
     Millis known{0};  ///< Last contact or report.
     std::optional<std::int64_t> config_version;
-    bool small = false;
+    int strength = 0;
   };
 
   std::string own_;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -125,7 +125,7 @@
   [[nodiscard]] std::vector<Candidate> TakeoverCandidates() const;
   /// This node's rank among the candidates for the next term.
   [[nodiscard]] int NextRank() const;
-  [[nodiscard]] bool IsSmall() const;
+  [[nodiscard]] Candidate Self() const;
   Awaitable<void> TakeLease(const LeaseView& view, std::int64_t store_ms);
   /// Estimate of the store's clock, in ms; 0: not known yet.
   [[nodiscard]] std::int64_t StoreTime() const {
@@ -229,7 +229,7 @@
   bool committing_ = false;
   bool handing_over_ = false;  ///< The next commit is the last of the term.
   bool releasing_ = false;     ///< It was sent: another node may lead already.
-  std::optional<Millis> last_handover_;  ///< Last handover to a larger node.
+  std::optional<Millis> last_handover_;  ///< Last one to a stronger node.
   std::uint64_t term_ = 0;
   std::uint64_t fence_ = 0;
   std::uint64_t heartbeat_version_ = 0;
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2482,13 +2482,13 @@
   this->beat_version = val;
 }
 
-void LeaderCheck::__set_small(const std::vector<std::string> & val) {
-  this->small = val;
-}
-
 void LeaderCheck::__set_commit_ms(const int64_t val) {
   this->commit_ms = val;
 }
+
+void LeaderCheck::__set_strengths(const std::map<std::string, int32_t> & val) {
+  this->strengths = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2609,30 +2609,33 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit_ms);
+          this->__isset.commit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
-            this->small.clear();
+            this->strengths.clear();
             uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->small.resize(_size99);
+            ::apache::thrift::protocol::TType _ktype100;
+            ::apache::thrift::protocol::TType _vtype101;
+            xfer += iprot->readMapBegin(_ktype100, _vtype101, _size99);
             uint32_t _i103;
             for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->small[_i103]);
+              std::string _key104;
+              xfer += iprot->readString(_key104);
+              int32_t& _val105 = this->strengths[_key104];
+              xfer += iprot->readI32(_val105);
             }
-            xfer += iprot->readListEnd();
+            xfer += iprot->readMapEnd();
           }
-          this->__isset.small = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit_ms);
-          this->__isset.commit_ms = true;
+          this->__isset.strengths = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2689,10 +2692,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->peers.begin(); _iter104 != this->peers.end(); ++_iter104)
+    std::vector<std::string> ::const_iterator _iter106;
+    for (_iter106 = this->peers.begin(); _iter106 != this->peers.end(); ++_iter106)
     {
-      xfer += oprot->writeString((*_iter104));
+      xfer += oprot->writeString((*_iter106));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2702,22 +2705,23 @@
   xfer += oprot->writeI64(this->beat_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("small", ::apache::thrift::protocol::T_LIST, 11);
+  xfer += oprot->writeFieldBegin("commit_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->commit_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("strengths", ::apache::thrift::protocol::T_MAP, 13);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->small.size()));
-    std::vector<std::string> ::const_iterator _iter105;
-    for (_iter105 = this->small.begin(); _iter105 != this->small.end(); ++_iter105)
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->strengths.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter107;
+    for (_iter107 = this->strengths.begin(); _iter107 != this->strengths.end(); ++_iter107)
     {
-      xfer += oprot->writeString((*_iter105));
+      xfer += oprot->writeString(_iter107->first);
+      xfer += oprot->writeI32(_iter107->second);
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("commit_ms", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->commit_ms);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2735,40 +2739,40 @@
   swap(a.sender, b.sender);
   swap(a.peers, b.peers);
   swap(a.beat_version, b.beat_version);
-  swap(a.small, b.small);
   swap(a.commit_ms, b.commit_ms);
+  swap(a.strengths, b.strengths);
   swap(a.__isset, b.__isset);
 }
 
-LeaderCheck::LeaderCheck(const LeaderCheck& other106) {
-  incarnation = other106.incarnation;
-  leads = other106.leads;
-  term = other106.term;
-  renewal_age_ms = other106.renewal_age_ms;
-  config_version = other106.config_version;
-  config = other106.config;
-  lease = other106.lease;
-  sender = other106.sender;
-  peers = other106.peers;
-  beat_version = other106.beat_version;
-  small = other106.small;
-  commit_ms = other106.commit_ms;
-  __isset = other106.__isset;
-}
-LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other107) {
-  incarnation = other107.incarnation;
-  leads = other107.leads;
-  term = other107.term;
-  renewal_age_ms = other107.renewal_age_ms;
-  config_version = other107.config_version;
-  config = other107.config;
-  lease = other107.lease;
-  sender = other107.sender;
-  peers = other107.peers;
-  beat_version = other107.beat_version;
-  small = other107.small;
-  commit_ms = other107.commit_ms;
-  __isset = other107.__isset;
+LeaderCheck::LeaderCheck(const LeaderCheck& other108) {
+  incarnation = other108.incarnation;
+  leads = other108.leads;
+  term = other108.term;
+  renewal_age_ms = other108.renewal_age_ms;
+  config_version = other108.config_version;
+  config = other108.config;
+  lease = other108.lease;
+  sender = other108.sender;
+  peers = other108.peers;
+  beat_version = other108.beat_version;
+  commit_ms = other108.commit_ms;
+  strengths = other108.strengths;
+  __isset = other108.__isset;
+}
+LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other109) {
+  incarnation = other109.incarnation;
+  leads = other109.leads;
+  term = other109.term;
+  renewal_age_ms = other109.renewal_age_ms;
+  config_version = other109.config_version;
+  config = other109.config;
+  lease = other109.lease;
+  sender = other109.sender;
+  peers = other109.peers;
+  beat_version = other109.beat_version;
+  commit_ms = other109.commit_ms;
+  strengths = other109.strengths;
+  __isset = other109.__isset;
   return *this;
 }
 void LeaderCheck::printTo(std::ostream& out) const {
@@ -2784,8 +2788,8 @@
   out << ", " << "sender=" << to_string(sender);
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "beat_version=" << to_string(beat_version);
-  out << ", " << "small=" << to_string(small);
   out << ", " << "commit_ms=" << to_string(commit_ms);
+  out << ", " << "strengths=" << to_string(strengths);
   out << ")";
 }
 
@@ -3095,37 +3099,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other108) {
-  heartbeat = other108.heartbeat;
-  heartbeat_reply = other108.heartbeat_reply;
-  delta_request = other108.delta_request;
-  delta_reply = other108.delta_reply;
-  forward_request = other108.forward_request;
-  forward_reply = other108.forward_reply;
-  outcome_request = other108.outcome_request;
-  slot_request = other108.slot_request;
-  slot_reply = other108.slot_reply;
-  error = other108.error;
-  job_call = other108.job_call;
-  job_reply = other108.job_reply;
-  leader_check = other108.leader_check;
-  __isset = other108.__isset;
-}
-Message& Message::operator=(const Message& other109) {
-  heartbeat = other109.heartbeat;
-  heartbeat_reply = other109.heartbeat_reply;
-  delta_request = other109.delta_request;
-  delta_reply = other109.delta_reply;
-  forward_request = other109.forward_request;
-  forward_reply = other109.forward_reply;
-  outcome_request = other109.outcome_request;
-  slot_request = other109.slot_request;
-  slot_reply = other109.slot_reply;
-  error = other109.error;
-  job_call = other109.job_call;
-  job_reply = other109.job_reply;
-  leader_check = other109.leader_check;
-  __isset = other109.__isset;
+Message::Message(const Message& other110) {
+  heartbeat = other110.heartbeat;
+  heartbeat_reply = other110.heartbeat_reply;
+  delta_request = other110.delta_request;
+  delta_reply = other110.delta_reply;
+  forward_request = other110.forward_request;
+  forward_reply = other110.forward_reply;
+  outcome_request = other110.outcome_request;
+  slot_request = other110.slot_request;
+  slot_reply = other110.slot_reply;
+  error = other110.error;
+  job_call = other110.job_call;
+  job_reply = other110.job_reply;
+  leader_check = other110.leader_check;
+  __isset = other110.__isset;
+}
+Message& Message::operator=(const Message& other111) {
+  heartbeat = other111.heartbeat;
+  heartbeat_reply = other111.heartbeat_reply;
+  delta_request = other111.delta_request;
+  delta_reply = other111.delta_reply;
+  forward_request = other111.forward_request;
+  forward_reply = other111.forward_reply;
+  outcome_request = other111.outcome_request;
+  slot_request = other111.slot_request;
+  slot_reply = other111.slot_reply;
+  error = other111.error;
+  job_call = other111.job_call;
+  job_reply = other111.job_reply;
+  leader_check = other111.leader_check;
+  __isset = other111.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -941,7 +941,7 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), small(false), commit_ms(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), commit_ms(false), strengths(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
@@ -952,8 +952,8 @@
   bool sender :1;
   bool peers :1;
   bool beat_version :1;
-  bool small :1;
   bool commit_ms :1;
+  bool strengths :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
@@ -985,8 +985,8 @@
   std::string sender;
   std::vector<std::string>  peers;
   int64_t beat_version;
-  std::vector<std::string>  small;
   int64_t commit_ms;
+  std::map<std::string, int32_t>  strengths;
 
   _LeaderCheck__isset __isset;
 
@@ -1010,10 +1010,10 @@
 
   void __set_beat_version(const int64_t val);
 
-  void __set_small(const std::vector<std::string> & val);
-
   void __set_commit_ms(const int64_t val);
 
+  void __set_strengths(const std::map<std::string, int32_t> & val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1036,10 +1036,10 @@
       return false;
     if (!(beat_version == rhs.beat_version))
       return false;
-    if (!(small == rhs.small))
-      return false;
     if (!(commit_ms == rhs.commit_ms))
       return false;
+    if (!(strengths == rhs.strengths))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -126,8 +126,9 @@
   8: string sender,             // `IP:port` on which the sender accepts calls
   9: list<string> peers,        // other nodes that the sender learned of recently
   10: i64 beat_version,         // row version of the leader's newest heartbeat
-  11: list<string> small,       // those of `sender` and `peers` that lead only as the last choice
+  // 11 was a list of the nodes that led only as the last choice.
   12: i64 commit_ms,            // typical duration of the leader's commits
+  13: map<string, i32> strengths, // of `sender` and `peers`: the strongest leads
 }
 
 union Message {
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -97,7 +97,7 @@
   // Each node ranks first for some term.
   EXPECT_EQ(first.size(), all.size());
   EXPECT_EQ(TakeoverRank({"10.0.0.9:1"}, {}, 3), 0);
-  all[2].small = true;
+  for (const int i : {0, 1, 3}) all[static_cast<std::size_t>(i)].strength = 1;
   EXPECT_EQ(TakeoverRank(all[2], all, 5), 3);
 }
 
@@ -133,22 +133,22 @@
       RequiredSilence(true, Millis{4}, TakeoverDelay(1, false)) + Millis{1000});
 }
 
-TEST(TakeoverTest, SmallNodeWaitsForLargerOnesAfterStart) {
-  const Candidate small{"10.0.0.1:1", true};
-  const Candidate large{"10.0.0.2:1"};
+TEST(TakeoverTest, WeakNodeWaitsForStrongerOnesAfterStart) {
+  const Candidate small{"10.0.0.1:1", LeaderStrength(0.12, 20)};
+  const Candidate large{"10.0.0.2:1", LeaderStrength(0.5, 200)};
   const std::vector<Candidate> with_large{small, large};
-  EXPECT_TRUE(ShouldWaitForLargerPeers(small, {}, Millis{600}));
-  EXPECT_FALSE(ShouldWaitForLargerPeers(large, {}, Millis{600}));
+  EXPECT_TRUE(ShouldWaitForStrongerPeers(small, {}, Millis{600}));
+  EXPECT_FALSE(ShouldWaitForStrongerPeers(large, {}, Millis{600}));
   // No extra delay once it knows larger nodes or has been up for long.
-  EXPECT_FALSE(ShouldWaitForLargerPeers(small, with_large, Millis{600}));
-  EXPECT_FALSE(ShouldWaitForLargerPeers(small, {}, kPeerDiscoveryPeriod));
+  EXPECT_FALSE(ShouldWaitForStrongerPeers(small, with_large, Millis{600}));
+  EXPECT_FALSE(ShouldWaitForStrongerPeers(small, {}, kPeerDiscoveryPeriod));
   EXPECT_EQ(TakeoverDelay(0, false), Millis{0});
   EXPECT_GE(TakeoverDelay(0, true), Millis{1000});
 }
 
-TEST(TakeoverTest, SmallLeaderHandsOverToLargerNode) {
-  const Candidate small{"10.0.0.1:1", true};
-  const Candidate large{"10.0.0.2:1"};
+TEST(TakeoverTest, WeakLeaderHandsOverToStrongerNode) {
+  const Candidate small{"10.0.0.1:1", LeaderStrength(0.12, 20)};
+  const Candidate large{"10.0.0.2:1", LeaderStrength(0.5, 200)};
   const std::vector<Candidate> both{small, large};
   EXPECT_TRUE(ShouldHandOver(small, both, kMinLeadTime, std::nullopt));
   EXPECT_FALSE(ShouldHandOver(large, both, kMinLeadTime, std::nullopt));
@@ -159,6 +159,23 @@
   EXPECT_TRUE(ShouldHandOver(small, both, kMinLeadTime, kMinHandoverInterval));
 }
 
+// Where every node fell below one limit, a node with a tenth of the link of
+// others led, its link filled up and its orders timed out.
+TEST(TakeoverTest, StrongestNodeLeadsWhereAllAreWeak) {
+  const Candidate weakest{"10.0.0.1:1", LeaderStrength(0.12, 4)};
+  const Candidate weak{"10.0.0.2:1", LeaderStrength(0.5, 38)};
+  const std::vector<Candidate> both{weakest, weak};
+  for (std::uint64_t term = 0; term < 30; ++term) {
+    EXPECT_EQ(TakeoverRank(weak, both, term), 0);
+    EXPECT_EQ(TakeoverRank(weakest, both, term), 1);
+  }
+  EXPECT_TRUE(ShouldHandOver(weakest, both, kMinLeadTime, std::nullopt));
+  EXPECT_FALSE(ShouldHandOver(weak, both, kMinLeadTime, std::nullopt));
+  // Nearly equal nodes don't take turns.
+  EXPECT_EQ(LeaderStrength(0.5, 200), LeaderStrength(0.5, 150));
+  EXPECT_EQ(LeaderStrength(0.25, 1000), LeaderStrength(0.25, 60));
+}
+
 TEST(CommitTest, UnansweredCommitIsResentOnlyToAFastStore) {
   LeaseView view;
   view.lease_version = 9;
--- a/tests/node_peer_table_test.cc
+++ b/tests/node_peer_table_test.cc
@@ -68,11 +68,11 @@
   const Millis now = Seconds(10);
   PeerTable table(Address(0));
   const std::vector<std::string> peers{Address(0), Address(1), Address(2)};
-  table.OnReport(peers, std::vector<std::string>{Address(2)}, now);
+  table.OnReport(peers, {{Address(2), 3}}, now);
   table.OnContact(Address(3), now);
   EXPECT_EQ(table.Candidates(now, kPeerExpiry, false, Address(3)).size(), 2U);
   EXPECT_EQ(table.Candidates(now, kPeerExpiry, true, {}).size(), 1U);
-  EXPECT_TRUE(table.IsSmall(Address(2)));
+  EXPECT_EQ(table.Strength(Address(2)), 3);
 }
 
 TEST(PeerTableTest, LikelySuccessorsCheckTheLeaderMoreOften) {
