Pools share the VMs when together they need more than there are

Change: ShareVms divides the fleet max-min fair: least needs, then work at hand, then forecasts. A pool above its share releases its least busy VMs to pools below theirs: they get no new tasks and move once idle.

No functional change in the lease or run protocol

--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -39,6 +39,9 @@
   std::int64_t later_cpu = 0;
   std::int64_t memory_mb = 0;     ///< Running and ready tasks.
   std::int64_t arriving_cpu = 0;  ///< Forecast need of arriving jobs.
+  /// Of these, long-running tasks.
+  std::int64_t lasting_cpu = 0;
+  std::int64_t lasting_memory_mb = 0;
   int spread = 0;  ///< VMs required by limits of tasks per worker.
   /// A long-running task has waited too long for a worker.
   bool stuck = false;
--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cmath>
+#include <utility>
 
 #include "base/log.h"
 #include "jobs/rows.h"
@@ -173,6 +174,7 @@
 void Fleet::IssueOrder(State& state, VmOrder order,
                        std::vector<VmOrder>& orders, Millis now) {
   state.ordered = state.in_flight = true;
+  state.released_to.clear();
   state.ordered_at = now;
   if (order.wave > 0) state.upkeep_of = order.wave;
   state.order = order;
@@ -292,6 +294,33 @@
   }
 }
 
+void Fleet::ComputeNeed(Pool& pool, const PoolDemand& demand) const {
+  const auto vms_for = [&pool](std::int64_t cpu, std::int64_t memory_mb) {
+    const double by_cpu =
+        static_cast<double>(cpu) /
+        static_cast<double>(std::max<std::int64_t>(1, pool.vm_cpu));
+    const double by_memory =
+        static_cast<double>(memory_mb) /
+        static_cast<double>(std::max<std::int64_t>(1, pool.vm_memory));
+    return static_cast<int>(
+        std::ceil(std::max(by_cpu, by_memory) * kNeedFactor));
+  };
+  const std::int64_t now_cpu = demand.ready_cpu + demand.running_cpu;
+  PoolNeed& need = pool.vms_needed;
+  need.least = std::max(demand.spread,
+                        vms_for(demand.lasting_cpu, demand.lasting_memory_mb));
+  if (demand.stuck) need.least = std::max(need.least, pool.state.have + 1);
+  if (now_cpu > demand.lasting_cpu) ++need.least;
+  need.now = std::max(demand.spread, vms_for(now_cpu, demand.memory_mb));
+  if (demand.stuck) need.now = std::max(need.now, pool.state.have + 1);
+  need.least = std::min(need.least, need.now);
+  need.soon = std::max(need.now, vms_for(demand.arriving_cpu, 0));
+  pool.state.need = need.soon;
+  const auto later = static_cast<std::int64_t>(
+      kLaterShare * static_cast<double>(demand.later_cpu));
+  pool.need_soon = std::max(need.soon, vms_for(now_cpu + later, 0));
+}
+
 std::vector<Fleet::Pool> Fleet::ComputePools(Scheduler& scheduler, Millis now) {
   const auto include = [](Pool& pool, const Vm& vm) {
     pool.vm_cpu = std::max(pool.vm_cpu, vm.capacity.cpu_milli);
@@ -302,7 +331,10 @@
   for (const auto& [name, service] : config.services) {
     if (!service.headroom) pools[name].name = name;
   }
+  int usable = 0;
+  std::map<std::string, std::vector<std::pair<std::int64_t, std::string>>> busy;
   for (auto& [name, state] : vms_) {
+    if (state.vm.state != VmState::kDown) ++usable;
     const auto it = pools.find(state.vm.pool);
     if (it == pools.end()) continue;
     Pool& pool = it->second;
@@ -312,6 +344,11 @@
       ++pool.state.coming;
       continue;
     }
+    if (!state.released_to.empty()) {
+      const auto to = pools.find(state.released_to);
+      if (to != pools.end()) ++to->second.state.coming;
+      continue;
+    }
     if (!IsFree(state, now)) continue;
     Worker* worker = scheduler.FindWorker(state.vm.worker);
     if (!worker) {
@@ -320,11 +357,15 @@
     }
     if (worker->entry.draining || worker->reserved) continue;
     ++pool.state.have;
-    if (scheduler.IsIdle(*worker) && worker->adopted && !worker->unresponsive) {
+    if (!worker->adopted || worker->unresponsive) continue;
+    if (scheduler.IsIdle(*worker)) {
       pool.idle.push_back(name);
+    } else if (!HostsLongRunningTask(*worker)) {
+      busy[pool.name].emplace_back(worker->used.cpu_milli, name);
     }
   }
   std::vector<Pool> list;
+  std::vector<PoolNeed> needs;
   const auto demands = scheduler.Demand(now);
   for (auto& [name, pool] : pools) {
     if (pool.vm_cpu == 0) {
@@ -333,25 +374,9 @@
     const auto found = demands.find(name);
     const PoolDemand demand =
         found == demands.end() ? PoolDemand{} : found->second;
-    const auto vm_cpu =
-        static_cast<double>(std::max<std::int64_t>(1, pool.vm_cpu));
-    const auto now_cpu =
-        static_cast<double>(demand.ready_cpu + demand.running_cpu);
-    const double soon =
-        now_cpu + kLaterShare * static_cast<double>(demand.later_cpu);
-    const double most =
-        std::max(now_cpu, static_cast<double>(demand.arriving_cpu));
-    pool.state.need = static_cast<int>(std::ceil(most * kNeedFactor / vm_cpu));
-    pool.need_soon = static_cast<int>(std::ceil(soon * kNeedFactor / vm_cpu));
-    const auto memory =
-        static_cast<double>(std::max<std::int64_t>(1, pool.vm_memory));
-    const int by_memory = static_cast<int>(std::ceil(
-        static_cast<double>(demand.memory_mb) * kNeedFactor / memory));
-    pool.state.need = std::max({pool.state.need, demand.spread, by_memory});
-    if (demand.stuck)
-      pool.state.need = std::max(pool.state.need, pool.state.have + 1);
-    pool.need_soon = std::max(pool.need_soon, pool.state.need);
-    RecordPool(pool, demand, now);
+    ComputeNeed(pool, demand);
+    needs.push_back(pool.vms_needed);
+    LogShortage(pool, demand, now);
     std::sort(
         pool.idle.begin(), pool.idle.end(),
         [&](const std::string& a, const std::string& b) {
@@ -360,15 +385,24 @@
           };
           return idle(a) < idle(b);
         });
+    auto& candidates = busy[name];
+    std::sort(candidates.begin(), candidates.end());
+    for (auto& [used, vm] : candidates) {
+      pool.releasable.push_back(std::move(vm));
+    }
     list.push_back(std::move(pool));
   }
+  const std::vector<int> shares = ShareVms(needs, usable);
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    list[i].state.share = shares[i];
+    pool_states_[list[i].name] = list[i].state;
+  }
   return list;
 }
 
-// Records the state of the pool and logs a shortage of VMs at most once a
-// second.
-void Fleet::RecordPool(const Pool& pool, const PoolDemand& demand, Millis now) {
-  pool_states_[pool.name] = pool.state;
+// Logs a shortage of VMs at most once a second.
+void Fleet::LogShortage(const Pool& pool, const PoolDemand& demand,
+                        Millis now) {
   if (pool.state.need <= pool.state.have) return;
   Millis& logged = pool_logged_[pool.name];
   if (now - logged < kPoolLogInterval) return;
@@ -384,6 +418,55 @@
       .With("arriving_cores", demand.arriving_cpu / kMilli);
 }
 
+void Fleet::FinishReleases(std::span<const Pool> pools, Scheduler& scheduler,
+                           std::vector<VmOrder>& orders, Millis now) {
+  for (auto& [name, state] : vms_) {
+    if (state.released_to.empty()) continue;
+    Worker* worker = scheduler.FindWorker(state.vm.worker);
+    const auto to = std::find_if(
+        pools.begin(), pools.end(),
+        [&state](const Pool& it) { return it.name == state.released_to; });
+    const bool needed = to != pools.end() && to->state.have < to->state.share;
+    if (!worker || worker->ended || state.ordered) {
+      state.released_to.clear();
+    } else if (!needed) {
+      state.released_to.clear();
+      if (!worker->awaits_upkeep) worker->reserved = false;
+    } else if (scheduler.IsIdle(*worker) && IsFree(state, now) &&
+               tokens_ >= 1) {
+      const std::string pool = std::exchange(state.released_to, {});
+      IssueOrder(state, {name, state.vm.worker, pool, 0}, orders, now);
+    }
+  }
+}
+
+void Fleet::Release(std::span<Pool> pools, const Pool& pool, int missing,
+                    Scheduler& scheduler) {
+  while (missing > 0) {
+    const auto surplus = [](const Pool& it) {
+      return it.releasable.empty() ? 0 : it.state.have - it.state.share;
+    };
+    const auto lender = std::max_element(
+        pools.begin(), pools.end(),
+        [&](const Pool& a, const Pool& b) { return surplus(a) < surplus(b); });
+    if (lender == pools.end() || surplus(*lender) <= 0) return;
+    const std::string vm = lender->releasable.front();
+    lender->releasable.erase(lender->releasable.begin());
+    --lender->state.have;
+    --missing;
+    State& state = vms_.at(vm);
+    Worker* worker = scheduler.FindWorker(state.vm.worker);
+    if (!worker) continue;
+    worker->reserved = true;
+    state.released_to = pool.name;
+    LogLine(LogLevel::kInfo, "machine_released")
+        .With("machine", vm)
+        .With("worker", worker->entry.id)
+        .With("from", lender->name)
+        .With("to", pool.name);
+  }
+}
+
 void Fleet::PlanMoves(Scheduler& scheduler, std::vector<VmOrder>& orders,
                       Millis now) {
   const Configuration& config = scheduler.configuration();
@@ -398,9 +481,12 @@
     }
   }
   std::vector<Pool> pools = ComputePools(scheduler, now);
-  std::sort(pools.begin(), pools.end(), [](const Pool& a, const Pool& b) {
-    return a.state.need - a.state.have - a.state.coming >
-           b.state.need - b.state.have - b.state.coming;
+  FinishReleases(pools, scheduler, orders, now);
+  const auto missing_vms = [](const Pool& it) {
+    return it.state.share - it.state.have - it.state.coming;
+  };
+  std::sort(pools.begin(), pools.end(), [&](const Pool& a, const Pool& b) {
+    return missing_vms(a) > missing_vms(b);
   });
   const auto idle_for = [&](const std::string& vm) {
     const Worker* worker = scheduler.FindWorker(vms_.at(vm).vm.worker);
@@ -413,7 +499,7 @@
     IssueOrder(state, {vm, state.vm.worker, pool, 0}, orders, now);
   };
   for (Pool& pool : pools) {
-    int missing = pool.state.need - pool.state.have - pool.state.coming;
+    int missing = missing_vms(pool);
     while (missing > 0 && tokens_ >= 1) {
       if (!off.empty()) {
         move(off.back()->vm.name, pool.name);
@@ -425,20 +511,21 @@
       // longest.
       Pool* lender = nullptr;
       for (Pool& it : pools) {
-        if (&it == &pool || it.idle.empty() || it.state.have <= it.state.need)
+        if (&it == &pool || it.idle.empty() || it.state.have <= it.state.share)
           continue;
         if (idle_for(it.idle.front()) < kIdleBeforeLending) continue;
-        if (!lender || it.state.have - it.state.need >
-                           lender->state.have - lender->state.need) {
+        if (!lender || it.state.have - it.state.share >
+                           lender->state.have - lender->state.share) {
           lender = &it;
         }
       }
-      if (!lender) return;
+      if (!lender) break;
       move(lender->idle.front(), pool.name);
       lender->idle.erase(lender->idle.begin());
       --lender->state.have;
       --missing;
     }
+    if (missing > 0) Release(pools, pool, missing, scheduler);
   }
   if (headroom.empty()) return;
   // Before the first demand it is unknown which VMs are not needed.
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -2,12 +2,14 @@
 
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "jobs/model.h"
 #include "jobs/scheduler.h"
+#include "jobs/sharing.h"
 
 /// Assigns VMs to pools and takes them down for upkeep. Like the scheduler it
 /// does no I/O. Queues may have bursts in turn that exceed the capacity of a
@@ -44,6 +46,7 @@
   int have = 0;    ///< Up and not being drained.
   int coming = 0;  ///< On the way to the pool.
   int need = 0;
+  int share = 0;  ///< Part of the need that the fleet can meet.
 };
 
 class Fleet {
@@ -85,14 +88,19 @@
     bool in_flight = false;
     int upkeep_of = 0;  ///< Wave for which the VM is down; 0: none.
     Millis off_since{0};
+    /// Pool to which the VM moves once its tasks have ended; empty: none.
+    std::string released_to;
   };
   struct Pool {
     std::string name;
     std::int64_t vm_cpu = 0;
     std::int64_t vm_memory = 0;
     PoolState state;
+    PoolNeed vms_needed;
     int need_soon = 0;
     std::vector<std::string> idle;  ///< VMs, longest idle first.
+    /// VMs at work on tasks that end by themselves, least busy first.
+    std::vector<std::string> releasable;
   };
 
   void PlanWaves(const std::map<int, WaveOrder>& waves, Scheduler& scheduler,
@@ -100,9 +108,17 @@
   void PlanMoves(Scheduler& scheduler, std::vector<VmOrder>& orders,
                  Millis now);
   std::vector<Pool> ComputePools(Scheduler& scheduler, Millis now);
+  void ComputeNeed(Pool& pool, const PoolDemand& demand) const;
+  /// Moves VMs whose release is complete. A release that isn't needed any more
+  /// is revoked.
+  void FinishReleases(std::span<const Pool> pools, Scheduler& scheduler,
+                      std::vector<VmOrder>& orders, Millis now);
+  /// Releases VMs of pools above their share for `pool`, which lacks `missing`.
+  void Release(std::span<Pool> pools, const Pool& pool, int missing,
+               Scheduler& scheduler);
   void IssueOrder(State& state, VmOrder order, std::vector<VmOrder>& orders,
                   Millis now);
-  void RecordPool(const Pool& pool, const PoolDemand& demand, Millis now);
+  void LogShortage(const Pool& pool, const PoolDemand& demand, Millis now);
   [[nodiscard]] bool HasBegun(int wave, const std::string& vm) const;
   /// Returns true while an order of the previous leader for the VM may be
   /// recent.
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -37,12 +37,6 @@
   return room;
 }
 
-bool HostsLongRunningTask(const Worker& worker) {
-  return std::any_of(
-      worker.runs.begin(), worker.runs.end(),
-      [](const auto& it) { return it.second.job->long_running; });
-}
-
 // Sort key of jobs; the smallest is planned first. Under overload, least slack
 // first delays every job until its slack is used up. With smallest first most
 // jobs meet their objective, and the largest jobs do no worse.
@@ -102,6 +96,12 @@
 
 }  // namespace
 
+bool HostsLongRunningTask(const Worker& worker) {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const auto& it) { return it.second.job->long_running; });
+}
+
 bool Scheduler::IsAdoptionPending(const Job& job, Millis now) const {
   const std::string& pool = PoolOf(job);
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -558,6 +558,10 @@
         demand.running_cpu += active_runs * cpu;
         demand.ready_cpu += std::max<std::int64_t>(0, left - active_runs) * cpu;
         demand.memory_mb += left * spec.need.memory_mb;
+        if (spec.long_running) {
+          demand.lasting_cpu += left * cpu;
+          demand.lasting_memory_mb += left * spec.need.memory_mb;
+        }
         if (spec.max_per_worker > 0) {
           const std::int64_t spread =
               (left + spec.max_per_worker - 1) / spec.max_per_worker;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -160,6 +160,9 @@
   std::map<std::string, int, std::less<>> per_step;
 };
 
+/// A long-running task pins its VM to the pool.
+bool HostsLongRunningTask(const Worker& worker);
+
 /// Order of jobs that can still meet their objective. All values except
 /// `kSmallestFirst` exist only for comparison.
 enum class JobOrder : std::uint8_t { kSmallestFirst, kLeastSlack, kFirstCome };
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "jobs/fleet.h"
 #include "jobs/rows.h"
@@ -114,6 +116,67 @@
   EXPECT_TRUE(scheduler_.FindWorker(orders[0].worker)->reserved);
 }
 
+// Every VM of the busy pool is at work, so none falls idle while its backlog
+// lasts.
+TEST_F(FleetTest, PoolBeyondItsShareReleasesVmsToAPoolWithoutAny) {
+  for (const char* it : {"m1", "m2", "m3", "m4"}) AddVm(it, "busy");
+  List();
+  Submit("busy", 100);
+  now_ += Millis{10};
+  const Orders starts = scheduler_.Plan(now_, kWall, true);
+  ASSERT_EQ(starts.starts.size(), 8U);
+  for (const StartOrder& it : starts.starts) {
+    scheduler_.OnStart(it, StartAnswer::kStarted, now_);
+  }
+  Submit("calm", 2);
+  EXPECT_TRUE(Plan({10}).empty());
+  const auto released =
+      std::find_if(vms_.begin(), vms_.end(), [this](const Vm& it) {
+        return scheduler_.FindWorker(it.worker)->reserved;
+      });
+  ASSERT_NE(released, vms_.end());
+  // Its tasks end; it gets no new ones and moves.
+  Worker* worker = scheduler_.FindWorker(released->worker);
+  WorkerReport report;
+  report.clock_ms = 100;
+  report.started_at_ms = 1;
+  std::int64_t number = 0;
+  for (const auto& [task, run] : worker->runs) {
+    report.ended.push_back({++number, task, run.number, EndKind::kDone, ""});
+  }
+  now_ += Millis{500};
+  scheduler_.OnReport(worker->entry.id, report, now_, now_);
+  Commit();
+  worker->confirmed_end_number = number;
+  static_cast<void>(scheduler_.Plan(now_, kWall, true));
+  const auto orders = Plan({10});
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].vm, released->name);
+  EXPECT_EQ(orders[0].pool, "calm");
+}
+
+TEST_F(FleetTest, ReleaseIsRevokedWhenTheOtherPoolNeedsItNoMore) {
+  for (const char* it : {"m1", "m2"}) AddVm(it, "busy");
+  List();
+  Submit("busy", 100);
+  now_ += Millis{10};
+  for (const StartOrder& it : scheduler_.Plan(now_, kWall, true).starts) {
+    scheduler_.OnStart(it, StartAnswer::kStarted, now_);
+  }
+  Submit("calm", 1);
+  Plan({10});
+  const auto reserved = [this] {
+    return std::count_if(vms_.begin(), vms_.end(), [this](const Vm& it) {
+      return scheduler_.FindWorker(it.worker)->reserved;
+    });
+  };
+  EXPECT_EQ(reserved(), 1);
+  scheduler_.Cancel("job1", now_);
+  // The forecast of the cancelled job fades.
+  Plan({5000});
+  EXPECT_EQ(reserved(), 0);
+}
+
 TEST_F(FleetTest, NoVmIsPoweredOffBeforeTheFirstDemand) {
   for (const char* it : {"m1", "m2", "m3"}) AddVm(it, "calm");
   List();
