A window limits the starts that await their answers

Change: StartWindow shrinks while starts are answered late and grows while they are answered at once; a plan starts no more than it has room for and begins with another pool each time.

No functional change in the lease or run protocol

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -309,6 +309,7 @@
         continue;
       }
       for (int i = 0; i < spec.task_count; ++i) {
+        if (orders.starts.size() >= max_starts_) return false;
         Task& task = step.tasks[i];
         if (task.done || task.active_runs > 0 || task.possibly_running)
           continue;
@@ -346,6 +347,7 @@
     return a.second->id < b.second->id;
   });
   for (auto& [urgency, job] : order) {
+    if (orders.starts.size() >= max_starts_) return;
     PlanJob(*job, *QueueOf(*job), pool, orders, now, wall);
   }
 }
@@ -413,8 +415,9 @@
   }
 }
 
-Orders Scheduler::Plan(Millis now, WallMillis wall, bool may_start) {
+Orders Scheduler::Plan(Millis now, WallMillis wall, std::size_t max_starts) {
   Orders orders;
+  max_starts_ = max_starts;
   Expire(now);
   for (auto& [id, worker] : workers_) {
     // All runs on a worker end when its lease has certainly expired.
@@ -430,7 +433,7 @@
     if (worker.serving_runs > 0) AdjustPaces(worker, orders, now);
   }
   PlanStops(orders, now);
-  if (!may_start) return orders;
+  if (max_starts == 0) return orders;
   std::map<std::string_view, Pool> pools;
   for (Job* it : active_jobs_) {
     if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].jobs.push_back(it);
@@ -446,7 +449,13 @@
     const bool ejected = now < worker.ejected_until;
     (ejected ? it->second.ejected : it->second.workers).push_back(&worker);
   }
-  for (auto& [service, pool] : pools) PlanPool(pool, orders, now, wall);
+  if (pools.empty()) return orders;
+  const auto first = static_cast<std::ptrdiff_t>(plans_++ % pools.size());
+  auto it = std::next(pools.begin(), first);
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    PlanPool(it->second, orders, now, wall);
+    if (++it == pools.end()) it = pools.begin();
+  }
   return orders;
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -277,9 +277,13 @@
   bool Withdraw(std::string_view id);
   [[nodiscard]] std::size_t Pending(std::string_view queue) const;
 
-  /// Returns the orders to send now. If `may_start` is false, starts no tasks;
-  /// stops and pace changes are still returned.
-  Orders Plan(Millis now, WallMillis wall, bool may_start);
+  /// Returns the orders to send now, with at most about `max_starts` starts: a
+  /// gang is not divided. Stops and pace changes are always returned.
+  Orders Plan(Millis now, WallMillis wall, std::size_t max_starts);
+  /// As many starts as there is room for, or none.
+  Orders Plan(Millis now, WallMillis wall, bool may_start) {
+    return Plan(now, wall, may_start ? SIZE_MAX : std::size_t{0});
+  }
   void OnStart(const StartOrder& order, StartAnswer answer, Millis now);
   /// Processes the worker's clock from the answer to an order. A clock that
   /// went back indicates a new incarnation, which must report before it
@@ -417,6 +421,9 @@
   std::map<std::string, ArrivalRate, std::less<>> arrivals_;
   std::optional<Millis> demand_since_;
   std::size_t run_count_ = 0;
+  std::size_t max_starts_ = 0;  ///< Of the current plan.
+  /// Number of plans; the pool that is planned first changes with each.
+  std::size_t plans_ = 0;
 };
 
 }  // namespace hemlockward::jobs
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -222,8 +222,10 @@
     co_await kernel::Sleep(kPlanDelay);
     plan_due_ = false;
     if (!IsLeading(term)) co_return;
-    Execute(term,
-            scheduler_.Plan(clock_.Now(), clock_.Wall(), CanSendOrders()));
+    const int room = start_window_.Room(starts_in_flight_);
+    const auto max_starts =
+        static_cast<std::size_t>(CanSendOrders() ? room : 0);
+    Execute(term, scheduler_.Plan(clock_.Now(), clock_.Wall(), max_starts));
     if (scheduler_.HasChanges()) commit_signal_.Notify();
   }
 }
@@ -264,9 +266,13 @@
                                  order.deadline_ms, fence_,    order.checkpoint,
                                  order.ticket};
   platform::OrderReply reply;
+  ++starts_in_flight_;
   const auto answer =
       co_await platform_.Start(entry, request, kOrderTimeout, &reply);
   const Millis now = clock_.Now();
+  // Tasks may be waiting for room in the window.
+  if (start_window_.Room(starts_in_flight_--) == 0) RequestPlan();
+  start_window_.OnAnswer(now - sent, now);
   metrics_.Observe("hemlockward_start_ms", "",
                    static_cast<double>((now - sent).count));
   metrics_.Count("hemlockward_starts_total",
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -19,6 +19,7 @@
 #include "node/lease.h"
 #include "node/peer_table.h"
 #include "node/settings.h"
+#include "node/start_window.h"
 #include "peer/transport.h"
 #include "platform/client.h"
 
@@ -254,6 +255,8 @@
   std::map<std::string, std::unique_ptr<kernel::Signal>> worker_signals_;
   kernel::Signal plan_signal_;
   bool plan_due_ = false;
+  StartWindow start_window_;
+  int starts_in_flight_ = 0;                 ///< Starts without an answer yet.
   std::map<int, bool> written_wave_states_;  ///< By wave; true: completed.
 
   std::unique_ptr<kernel::HttpServer> front_;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -249,6 +249,22 @@
   EXPECT_EQ(orders.starts[0].task.job, "small");
 }
 
+TEST_F(SchedulerTest, LimitedPlansStartEveryTaskInTheEnd) {
+  AddWorker("w", 64'000);
+  for (int i = 0; i < 5; ++i) {
+    Submit("job" + std::to_string(i), OneStep(Step(4, 1000)));
+  }
+  std::size_t started = 0;
+  for (int i = 0; i < 7; ++i) {
+    now_ += Millis{10};
+    const Orders orders = scheduler_.Plan(now_, kWall, std::size_t{3});
+    EXPECT_LE(orders.starts.size(), 3U);
+    started += orders.starts.size();
+    Started(orders);
+  }
+  EXPECT_EQ(started, 20U);
+}
+
 TEST_F(SchedulerTest, EqualJobsAreOrderedById) {
   AddWorker("w", 4000);
   for (const char* it : {"c", "a", "d", "b"}) {
