VMs in upkeep aren't shared

Cause: VMs in upkeep counted as part of the fleet, so that no pool seemed to be above its share while a wave held a fifth of the VMs, and none were released. Change: only VMs that work, move or are off are shared.

No functional change in the lease or run protocol

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -331,20 +331,29 @@
   for (const auto& [name, service] : config.services) {
     if (!service.headroom) pools[name].name = name;
   }
+  // VMs that work now or will once they have moved: a share counted from VMs in
+  // upkeep would hide that a pool has more than its part of the others.
   int usable = 0;
   std::map<std::string, std::vector<std::pair<std::int64_t, std::string>>> busy;
   for (auto& [name, state] : vms_) {
-    if (state.vm.state != VmState::kDown) ++usable;
     const auto it = pools.find(state.vm.pool);
-    if (it == pools.end()) continue;
+    if (it == pools.end()) {
+      if (IsFree(state, now)) ++usable;
+      continue;
+    }
     Pool& pool = it->second;
     include(pool, state.vm);
-    if (state.vm.state == VmState::kMoving ||
-        state.vm.state == VmState::kUpkeep) {
+    if (state.vm.state == VmState::kUpkeep) {
+      ++pool.state.coming;
+      continue;
+    }
+    if (state.vm.state == VmState::kMoving) {
+      ++usable;
       ++pool.state.coming;
       continue;
     }
     if (!state.released_to.empty()) {
+      ++usable;
       const auto to = pools.find(state.released_to);
       if (to != pools.end()) ++to->second.state.coming;
       continue;
@@ -356,6 +365,7 @@
       continue;
     }
     if (worker->entry.draining || worker->reserved) continue;
+    ++usable;
     ++pool.state.have;
     if (!worker->adopted || worker->unresponsive) continue;
     if (scheduler.IsIdle(*worker)) {
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -155,6 +155,29 @@
   EXPECT_EQ(orders[0].pool, "calm");
 }
 
+// VMs in upkeep counted as part of the fleet: no pool seemed to be above its
+// share while a wave held a fifth of the VMs.
+TEST_F(FleetTest, VmsInUpkeepAreNotShared) {
+  for (const char* it : {"m1", "m2", "m3", "m4"}) AddVm(it, "busy");
+  for (const char* it : {"m5", "m6"}) {
+    AddVm(it, "busy");
+    vms_.back().state = VmState::kUpkeep;
+  }
+  List();
+  Submit("busy", 100);
+  now_ += Millis{10};
+  for (const StartOrder& it : scheduler_.Plan(now_, kWall, true).starts) {
+    scheduler_.OnStart(it, StartAnswer::kStarted, now_);
+  }
+  Submit("calm", 2);
+  Plan({10});
+  EXPECT_GE(std::count_if(vms_.begin(), vms_.end(),
+                          [this](const Vm& it) {
+                            return scheduler_.FindWorker(it.worker)->reserved;
+                          }),
+            1);
+}
+
 TEST_F(FleetTest, ReleaseIsRevokedWhenTheOtherPoolNeedsItNoMore) {
   for (const char* it : {"m1", "m2"}) AddVm(it, "busy");
   List();
