Orders ask for the lease right before their first byte

Cause: an order was checked against the lease, then waited up to a second for its connection, or for the process to be resumed; VM orders carry no fence that the platform checks. docs/PROMISES.md said that this wasn't covered. Change: starts, stops, paces, renewals and VM orders pass a check that the HTTP client asks once connected. Test: platform_orders_test; with the check left out of the client, the orders reach the server.

No functional change in the policies

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -178,7 +178,8 @@
   const jobs::WorkerEntry entry = worker->entry;
   const std::int64_t started_at_ms = worker->started_at_ms;
   auto report = co_await platform_.Hold(entry, std::move(body),
-                                        report_wait + kReportTimeoutSlack);
+                                        report_wait + kReportTimeoutSlack,
+                                        OrderPermission(term));
   if (!IsLeading(term)) co_return;
   worker = scheduler_.FindWorker(id);
   if (!worker) co_return;
@@ -267,8 +268,8 @@
                                  order.ticket};
   platform::OrderReply reply;
   ++starts_in_flight_;
-  const auto answer =
-      co_await platform_.Start(entry, request, kOrderTimeout, &reply);
+  const auto answer = co_await platform_.Start(entry, request, kOrderTimeout,
+                                               &reply, OrderPermission(term));
   const Millis now = clock_.Now();
   // Tasks may be waiting for room in the window.
   if (start_window_.Room(starts_in_flight_--) == 0) RequestPlan();
@@ -305,7 +306,8 @@
   if (worker && CanSendOrders()) {
     const jobs::WorkerEntry entry = worker->entry;
     std::string body = platform::EncodeStop(order.task, order.run, fence_);
-    answered = co_await platform_.Stop(entry, std::move(body), kOrderTimeout);
+    answered = co_await platform_.Stop(entry, std::move(body), kOrderTimeout,
+                                       OrderPermission(term));
   }
   LogLine(LogLevel::kInfo, "run_stopped")
       .With("task", order.task.ToText())
@@ -328,8 +330,8 @@
   const jobs::WorkerEntry entry = worker->entry;
   std::string body =
       platform::EncodePace(order.task, order.run, order.percent, fence_);
-  const bool done =
-      co_await platform_.Pace(entry, std::move(body), kOrderTimeout);
+  const bool done = co_await platform_.Pace(
+      entry, std::move(body), kOrderTimeout, OrderPermission(term));
   LogLine(LogLevel::kInfo, "run_paced")
       .With("task", order.task.ToText())
       .With("worker", order.worker)
@@ -413,10 +415,10 @@
   last_vm_order_ = clock_.Now();
   if (order.wave > 0) {
     done = co_await platform_.Upkeep(authority, order.vm, order.wave,
-                                     kVmCallTimeout);
+                                     kVmCallTimeout, VmOrderPermission(term));
   } else {
     done = co_await platform_.Move(authority, order.vm, order.pool,
-                                   kVmCallTimeout);
+                                   kVmCallTimeout, VmOrderPermission(term));
   }
   if (!IsLeading(term)) co_return;
   VmAnswer answer = VmAnswer::kDone;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -171,6 +171,13 @@
   [[nodiscard]] bool CanSendVmOrders() const {
     return CanSendOrders() && clock_.Now() - renewed_ < kVmOrderValidity;
   }
+  /// The same checks for the moment when an order of this term is sent.
+  [[nodiscard]] platform::MaySend OrderPermission(std::uint64_t term) const {
+    return [this, term] { return IsLeading(term) && CanSendOrders(); };
+  }
+  [[nodiscard]] platform::MaySend VmOrderPermission(std::uint64_t term) const {
+    return [this, term] { return IsLeading(term) && CanSendVmOrders(); };
+  }
 
   // Leader's work (leader.cc).
   Awaitable<void> FollowWorkers(std::uint64_t term);
