A wave is complete only once two listings lack a VM, and states don't go back

A late 'running' of a deposed leader could also replace 'completed'. Change: a VM has gone once two successive listings lack it; 'running' is written only where no state is; no state is written without a fresh lease. Test: VmMissingFromOneListingIsStillPartOfItsWave (fails before).

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -37,6 +37,9 @@
 constexpr Millis kClockSlack{600};
 constexpr Millis kPoolLogInterval = base::Seconds(1);
 constexpr Millis kListingInterval{500};
+// A listing is read page by page, and a VM that moves meanwhile may be on none
+// of them. It has gone when this many successive listings lack it.
+constexpr int kListingsToForget = 2;
 constexpr Millis kListingIntervalIdle{1500};
 // Share of the platform's rate that one leader uses, and its largest burst.
 constexpr double kRateShare = 0.8;
@@ -69,6 +72,7 @@
   orders_from_ = orders_from;
   term_began_ = now;
   vms_.clear();
+  listings_ = 0;
   begun_.clear();
   recent_.clear();
   recent_unknown_ = false;
@@ -153,10 +157,12 @@
 }
 
 void Fleet::OnVms(const std::vector<Vm>& vms, Millis sent) {
+  ++listings_;
   std::set<std::string> names;
   for (const Vm& it : vms) {
     names.insert(it.name);
     State& state = vms_[it.name];
+    state.missing_listings = 0;
     // A listing requested before the newest order shows the state before it.
     if (state.in_flight || sent <= state.ordered_at) continue;
     state.vm = it;
@@ -166,8 +172,12 @@
       state.upkeep_of = 0;
     }
   }
-  std::erase_if(vms_, [&](const auto& it) {
-    return !names.contains(it.first) && !it.second.ordered;
+  for (auto& [name, state] : vms_) {
+    if (!names.contains(name)) ++state.missing_listings;
+  }
+  std::erase_if(vms_, [](const auto& it) {
+    const State& state = it.second;
+    return state.missing_listings >= kListingsToForget && !state.ordered;
   });
 }
 
@@ -219,7 +229,7 @@
 }
 
 bool Fleet::IsComplete(const WaveOrder& wave) const {
-  if (vms_.empty()) return false;
+  if (listings_ < kListingsToForget) return false;
   return std::all_of(wave.vms.begin(), wave.vms.end(), [&](const auto& it) {
     return HasBegun(wave.number, it) || !vms_.contains(it);
   });
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -88,6 +88,7 @@
     bool in_flight = false;
     int upkeep_of = 0;  ///< Wave for which the VM is down; 0: none.
     Millis off_since{0};
+    int missing_listings = 0;  ///< Successive listings without the VM.
     /// Pool to which the VM moves once its tasks have ended; empty: none.
     std::string released_to;
   };
@@ -129,6 +130,7 @@
   Millis orders_from_{0};
   Millis term_began_{0};
   Millis listed_at_{-1'000'000};
+  int listings_ = 0;  ///< Complete listings in this term.
   std::map<std::string, State> vms_;
   std::map<int, std::set<std::string>> begun_;
   /// VMs ordered by the previous leader, as stored, and the local time from
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -439,7 +439,7 @@
 
 Awaitable<void> NodeProcess::WriteWaveStates(std::uint64_t term) {
   for (const auto& [number, wave] : waves_) {
-    if (!IsLeading(term)) co_return;
+    if (!IsLeading(term) || !CanSendOrders()) co_return;
     const bool complete = fleet_.IsComplete(wave);
     const auto it = written_wave_states_.find(number);
     if (it != written_wave_states_.end() && it->second == complete) continue;
@@ -449,8 +449,15 @@
         std::string(platform::kWavePrefix) + std::to_string(number);
     transaction.writes.push_back(
         {platform::kStatusTable, key, platform::EncodeWaveState(complete)});
+    // A write of an earlier leader that takes effect late must not replace a
+    // newer state.
+    if (!complete) {
+      transaction.conditions.push_back({platform::kStatusTable, key, 0});
+    }
     auto done = co_await platform_.Commit(transaction, kReadTimeout);
-    if (!done || !IsLeading(term)) co_return;
+    if (!IsLeading(term)) co_return;
+    const bool exists = !done && done.error().failure == CallFailure::kConflict;
+    if (!done && !exists) co_return;
     written_wave_states_[number] = complete;
     LogLine(LogLevel::kInfo, "wave_state")
         .With("wave", number)
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -394,6 +394,32 @@
   EXPECT_TRUE(Plan({10}).empty());
 }
 
+// A listing of several pages is no snapshot: a VM that moved meanwhile was on
+// none of them, counted as gone, and its wave as complete.
+TEST_F(FleetTest, VmMissingFromOneListingIsStillPartOfItsWave) {
+  AddVm("m1", "calm");
+  AddVm("m2", "calm");
+  const WaveOrder wave{1, {"m2"}, Millis{10'000}, 1};
+  List();
+  EXPECT_FALSE(fleet_.IsComplete(wave));
+  const Vm moving = vms_.back();
+  vms_.pop_back();
+  now_ += Millis{500};
+  List();
+  EXPECT_FALSE(fleet_.IsComplete(wave));
+  vms_.push_back(moving);
+  now_ += Millis{500};
+  List();
+  EXPECT_FALSE(fleet_.IsComplete(wave));
+  // It is gone once two listings lack it.
+  vms_.pop_back();
+  for (int i = 0; i < 2; ++i) {
+    now_ += Millis{500};
+    List();
+  }
+  EXPECT_TRUE(fleet_.IsComplete(wave));
+}
+
 TEST_F(FleetTest, NextLeaderKnowsWhichVmsHaveBegunUpkeep) {
   AddVm("m1", "off");
   AddVm("m2", "off");
