Damaged rows are rejected, and an error doesn't end the watch over the lease

Cause: a row or a peer's lease with an impossible number threw while the state was loaded or a check was read; the coroutine that watches the lease ended, and the node kept the lease without leading. Change: numbers are read with an error code; WatchLease logs the error, gives up a lease whose state can't be loaded, and goes on. Tests: jobs_rows_test, RowWithAnImpossibleTermIsRejected (both fail before).

No functional change in the policies

--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -21,6 +21,16 @@
   return it && it->is_int64() ? it->get_int64() : 0;
 }
 
+// Returns a position in a list; nullopt if the value is no whole number of the
+// range.
+std::optional<std::size_t> Position(const json::value& value,
+                                    std::size_t size) {
+  boost::system::error_code ec;
+  const auto n = value.to_number<std::size_t>(ec);
+  if (ec || n >= size) return std::nullopt;
+  return n;
+}
+
 std::optional<json::object> ParseObject(std::string_view text) {
   boost::system::error_code ec;
   json::value value = json::parse(text, ec);
@@ -40,11 +50,12 @@
 bool ApplyDone(const json::value& value, Job& job) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 3 || !(*row)[2].is_string()) return false;
-  const auto occurrence = static_cast<std::size_t>((*row)[0].to_number<int>());
-  const auto number = static_cast<std::size_t>((*row)[1].to_number<int>());
-  if (occurrence >= job.occurrences.size()) return false;
-  if (number >= job.occurrences[occurrence].steps.size()) return false;
-  Step& step = job.occurrences[occurrence].steps[number];
+  const auto occurrence = Position((*row)[0], job.occurrences.size());
+  if (!occurrence) return false;
+  auto& steps = job.occurrences[*occurrence].steps;
+  const auto number = Position((*row)[1], steps.size());
+  if (!number) return false;
+  Step& step = steps[*number];
   const std::string_view marks = (*row)[2].get_string();
   for (std::size_t i = 0; i < std::min(marks.size(), step.tasks.size()); ++i) {
     if (marks[i] != '1' || step.tasks[i].done) continue;
@@ -52,7 +63,7 @@
     ++step.done;
   }
   if (step.done == static_cast<int>(step.tasks.size())) {
-    Occurrence& whole = job.occurrences[occurrence];
+    Occurrence& whole = job.occurrences[*occurrence];
     if (++whole.steps_done == static_cast<int>(whole.steps.size())) {
       ++job.occurrences_done;
     }
@@ -63,15 +74,19 @@
 bool ApplyFailed(const json::value& value, Job& job) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 4 || !(*row)[3].is_array()) return false;
-  const auto occurrence = static_cast<std::size_t>((*row)[0].to_number<int>());
-  const auto step = static_cast<std::size_t>((*row)[1].to_number<int>());
-  const auto index = static_cast<std::size_t>((*row)[2].to_number<int>());
-  if (occurrence >= job.occurrences.size()) return false;
-  if (step >= job.occurrences[occurrence].steps.size()) return false;
-  auto& tasks = job.occurrences[occurrence].steps[step].tasks;
-  if (index >= tasks.size()) return false;
+  const auto occurrence = Position((*row)[0], job.occurrences.size());
+  if (!occurrence) return false;
+  auto& steps = job.occurrences[*occurrence].steps;
+  const auto step = Position((*row)[1], steps.size());
+  if (!step) return false;
+  auto& tasks = steps[*step].tasks;
+  const auto index = Position((*row)[2], tasks.size());
+  if (!index) return false;
   for (const json::value& it : (*row)[3].get_array()) {
-    tasks[index].failed_runs.push_back(it.to_number<int>());
+    boost::system::error_code ec;
+    const int run = it.to_number<int>(ec);
+    if (ec) return false;
+    tasks[*index].failed_runs.push_back(run);
   }
   return true;
 }
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -50,25 +50,39 @@
 
 }  // namespace
 
+// An unexpected error must not end the only coroutine that takes and gives up
+// the lease: the node would keep it without leading.
 Awaitable<void> NodeProcess::WatchLease() {
   while (!stopping_) {
-    if (!leads_) {
-      co_await CheckLease();
-      continue;
+    std::string error;
+    try {
+      if (leads_) {
+        co_await HandOverIfWeaker();
+      } else {
+        co_await CheckLease();
+      }
+    } catch (const std::exception& e) {
+      error = e.what();
     }
+    if (error.empty()) continue;
+    LogLine(LogLevel::kError, "lease_check_failed").With("error", error);
+    if (leads_ && !loaded_) StepDown("the stored state can't be loaded");
     co_await kernel::Sleep(kCheckInterval);
-    if (!leads_ || !loaded_ || stopping_) continue;
-    const Millis now = clock_.Now();
-    std::optional<Millis> since_last;
-    if (last_handover_) since_last = now - *last_handover_;
-    const Candidate self = Self();
-    const auto peers = peers_.Candidates(now, kActivePeerAge, true, {});
-    if (!ShouldHandOver(self, peers, now - lease_taken_, since_last)) continue;
-    last_handover_ = now;
-    co_await HandOver("a stronger node is available", now + kCommitTimeout);
   }
 }
 
+Awaitable<void> NodeProcess::HandOverIfWeaker() {
+  co_await kernel::Sleep(kCheckInterval);
+  if (!leads_ || !loaded_ || stopping_) co_return;
+  const Millis now = clock_.Now();
+  std::optional<Millis> since_last;
+  if (last_handover_) since_last = now - *last_handover_;
+  const auto peers = peers_.Candidates(now, kActivePeerAge, true, {});
+  if (!ShouldHandOver(Self(), peers, now - lease_taken_, since_last)) co_return;
+  last_handover_ = now;
+  co_await HandOver("a stronger node is available", now + kCommitTimeout);
+}
+
 Awaitable<void> NodeProcess::CheckLease() {
   const bool known = lease_.lease && !lease_.lease->released &&
                      lease_.lease->incarnation != incarnation_;
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -43,7 +43,8 @@
   row.address = std::string_view(address->get_string());
   row.incarnation =
       std::strtoull(incarnation->get_string().c_str(), nullptr, 10);
-  row.term = term->to_number<std::uint64_t>();
+  row.term = term->to_number<std::uint64_t>(ec);
+  if (ec) return std::nullopt;
   row.released = released->get_bool();
   const json::value* age = object.if_contains("machine_order_age");
   if (age && age->is_int64()) row.vm_order_age = {age->get_int64()};
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -114,6 +114,7 @@
   // Leadership (leadership.cc).
   Awaitable<void> WatchLease();
   Awaitable<void> CheckLease();
+  Awaitable<void> HandOverIfWeaker();
   Awaitable<bool> IsHolderRenewing();
   /// Exchanges leader and configuration with a peer; false if it didn't answer.
   Awaitable<bool> ExchangeLeaderCheck(std::string address, bool* refused);
--- /dev/null
+++ b/tests/jobs_rows_test.cc
@@ -0,0 +1,55 @@
+// A malformed row once threw while the state was loaded: it ended the coroutine
+// that watches the lease, and the node kept the lease without leading.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "jobs/rows.h"
+#include "jobs_fixture.h"
+
+namespace hemlockward::jobs {
+namespace {
+
+Job JobWithProgress() {
+  Job job;
+  job.id = "job";
+  job.spec = testing::OneStep(testing::Step(4, 1000));
+  job.occurrences.resize(1);
+  job.occurrences[0].steps.resize(1);
+  job.occurrences[0].steps[0].tasks.resize(4);
+  return job;
+}
+
+TEST(RowsTest, ProgressRowsWithWrongNumbersAreRejected) {
+  for (const char* it : {R"({"state":"running","done":[["a",0,"1111"]]})",
+                         R"({"state":"running","done":[[0,-1,"1111"]]})",
+                         R"({"state":"running","done":[[0,1e300,"1111"]]})",
+                         R"({"state":"running","done":[[0,0.5,"1111"]]})",
+                         R"({"state":"running","failed":[[0,0,"x",[1]]]})",
+                         R"({"state":"running","failed":[[0,0,0,["x"]]]})",
+                         R"({"state":"running","failed":[[0,0,9,[1]]]})"}) {
+    Job job = JobWithProgress();
+    bool read = true;
+    EXPECT_NO_THROW(read = DecodeProgressRow(it, job)) << it;
+    EXPECT_FALSE(read) << it;
+  }
+}
+
+RC_GTEST_PROP(RowsTest, DamagedProgressRowsDoNotThrow, ()) {
+  Job job = JobWithProgress();
+  Step& step = job.occurrences[0].steps[0];
+  step.tasks[1].done = true;
+  step.done = 1;
+  step.tasks[2].failed_runs = {1, 2};
+  std::string row = EncodeProgressRow(job);
+  const auto changes = *rc::gen::inRange(1, 4);
+  for (int i = 0; i < changes; ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, row.size());
+    row[at] = *rc::gen::elementOf(std::string("0129-.eE\"[]{},:nx"));
+  }
+  Job read = JobWithProgress();
+  static_cast<void>(DecodeProgressRow(row, read));
+}
+
+}  // namespace
+}  // namespace hemlockward::jobs
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -31,6 +31,21 @@
   EXPECT_FALSE(DecodeLease("\xff"));
 }
 
+// Peers send the lease row that they know; an unreadable one must not throw.
+TEST(LeaseTest, RowWithAnImpossibleTermIsRejected) {
+  const std::string row = EncodeLease({"n1", "10.0.0.1:1", 77, 3});
+  ASSERT_TRUE(DecodeLease(row));
+  for (const char* it : {"-3", "1e300", "0.5", "\"3\"", "null"}) {
+    std::string damaged = row;
+    const std::size_t at = damaged.find("\"term\":3");
+    ASSERT_NE(at, std::string::npos);
+    damaged.replace(at, 8, std::string("\"term\":") + it);
+    std::optional<LeaseRow> read;
+    EXPECT_NO_THROW(read = DecodeLease(damaged)) << it;
+    EXPECT_FALSE(read) << it;
+  }
+}
+
 TEST(LeaseTest, UnchangedHeartbeatCountsOnlyWhileTheStoreIsReadable) {
   HeartbeatMonitor watch;
   Millis now{1000};
