--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -443,9 +443,10 @@
   for (auto& [name, state] : vms_) {
     if (state.released_to.empty()) continue;
     Worker* worker = scheduler.FindWorker(state.vm.worker);
-    const auto to = std::find_if(
-        pools.begin(), pools.end(),
-        [&state](const Pool& it) { return it.name == state.released_to; });
+    const std::string& target = state.released_to;
+    const auto to =
+        std::find_if(pools.begin(), pools.end(),
+                     [&target](const Pool& it) { return it.name == target; });
     const bool needed = to != pools.end() && to->state.have < to->state.share;
     if (!worker || worker->ended || state.ordered) {
       state.released_to.clear();
