Test that a worker that has left isn't used after a takeover

Two guards keep it: only registered workers are used, and a stored row names no capacity.

No functional change

--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -639,6 +639,16 @@
   EXPECT_FALSE(StartsAfter(other, now_));
 }
 
+// The row of a worker outlives the worker's registration, which ends when the
+// worker leaves. It may still answer.
+TEST_F(TakeoverTest, WorkerThatHasLeftIsNotUsedAgain) {
+  Report("w1", {});
+  Submit("b", OneStep(Step(16, 1000)));
+  const Orders orders = Plan();
+  EXPECT_FALSE(orders.starts.empty());
+  for (const StartOrder& it : orders.starts) EXPECT_EQ(it.worker, "w2");
+}
+
 TEST_F(TakeoverTest, ListingRequestedBeforeTheWorkerWasKnownIsIgnored) {
   listed_.worker = "w3";
   EXPECT_FALSE(StartsAfter(listed_, scheduler_.workers().at("w1").known_since));
