A run sent to a restarted worker isn't given up

It was started elsewhere 27 ms later. The same was possible with the first report of a new incarnation. Change: a new incarnation drops no runs by itself; a report requested after a run was settled tells whether it is there. Its lease is taken as the longest that workers accept, as starts may carry a lease by the old clock. Tests: two, both fail before.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -145,6 +145,22 @@
   while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
 }
 
+void Scheduler::BeginIncarnation(Worker& worker, std::int64_t started_at_ms,
+                                 Millis now) {
+  LogLine(LogLevel::kInfo, "worker_restarted")
+      .With("worker", worker.entry.id)
+      .With("runs", worker.runs.size())
+      .With("born", started_at_ms);
+  worker.started_at_ms = started_at_ms;
+  worker.reported_end_number = worker.committed_end_number =
+      worker.confirmed_end_number = 0;
+  if (worker.runs.empty()) return;
+  // Starts sent since the restart carry a lease by the clock of the previous
+  // incarnation, which the worker limits to the longest one.
+  const Millis length = settings_.longest_lease + kLeaseMargin;
+  worker.lease_expires_by = std::max(worker.lease_expires_by, now + length);
+}
+
 void Scheduler::OnStart(const StartOrder& order, StartAnswer answer,
                         Millis now) {
   Worker* worker = FindWorker(order.worker);
@@ -218,13 +234,7 @@
   if (report.started_at_ms > 0 && worker->started_at_ms > 0 &&
       report.started_at_ms != worker->started_at_ms) {
     if (report.started_at_ms < worker->started_at_ms) return;
-    LogLine(LogLevel::kInfo, "worker_restarted")
-        .With("worker", id)
-        .With("runs_lost", worker->runs.size())
-        .With("born", report.started_at_ms);
-    ReleaseAll(*worker, now);
-    worker->reported_end_number = worker->committed_end_number =
-        worker->confirmed_end_number = 0;
+    BeginIncarnation(*worker, report.started_at_ms, now);
   }
   if (report.started_at_ms > 0) worker->started_at_ms = report.started_at_ms;
   worker->clock_ms = report.clock_ms;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -245,11 +245,8 @@
   if (fresh) worker.idle_since = worker.known_since = now;
   if (entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
       entry.started_at_ms > worker.started_at_ms) {
-    ReleaseAll(worker, now);
+    BeginIncarnation(worker, entry.started_at_ms, now);
     worker.adopted = false;
-    worker.reported_end_number = worker.committed_end_number =
-        worker.confirmed_end_number = 0;
-    worker.started_at_ms = entry.started_at_ms;
   }
   const bool moved = !fresh && worker.entry.service != entry.service;
   worker.entry = entry;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -170,6 +170,8 @@
 struct SchedulerSettings {
   /// Length of a worker's lease; the platform limits it to `hold_max`.
   Millis lease{4000};
+  /// Longest lease that workers accept.
+  Millis longest_lease{6000};
   /// Maximum fraction by which a worker's clock is slower than the local clock.
   double clock_drift = 0.02;
   Millis retention{130'000};  ///< How long an ended job is kept.
@@ -364,6 +366,9 @@
   /// Removes a run that is certainly no longer in progress.
   void EndRun(Worker& worker, std::map<TaskId, Run>::iterator it, Millis now);
   void ReleaseAll(Worker& worker, Millis now);
+  /// The worker has restarted under its id, at the Unix time `started_at_ms`.
+  /// Runs sent since then may be at work there: the next reports tell.
+  void BeginIncarnation(Worker& worker, std::int64_t started_at_ms, Millis now);
   void OnEnd(Worker& worker, const EndedRun& end, Millis now);
   void OnActive(Worker& worker, const ActiveRun& active, Millis sent,
                 Millis now);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -55,7 +55,7 @@
       check_signal_(pool.context()),
       commit_signal_(pool.context()),
       committed_signal_(pool.context()),
-      scheduler_({settings_.worker_lease}),
+      scheduler_({settings_.worker_lease, settings_.longest_lease}),
       fleet_({settings_.move_s, settings_.upkeep_s,
               settings_.machine_orders_per_s, settings_.machine_turn}),
       plan_signal_(pool.context()) {
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -350,6 +350,54 @@
   EXPECT_EQ(Plan().starts.size(), 1U);
 }
 
+// The registration of a restarted worker was read while a start was on its way:
+// the run was given up and started again, though it was at work in the new
+// incarnation (soak, seed 1 beside load: TWICE).
+TEST_F(SchedulerTest, RunSentToANewIncarnationIsNotGivenUp) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  const StartOrder& start = orders.starts[0];
+  WorkerEntry entry = scheduler_.workers().at(start.worker).entry;
+  entry.started_at_ms = 2;
+  now_ += Millis{5};
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  scheduler_.OnStart(start, StartAnswer::kStarted, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  WorkerReport report;
+  report.clock_ms = 20;
+  report.started_at_ms = 2;
+  report.active = {{start.task, start.run, "", 10, 0}};
+  now_ += Millis{10};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  EXPECT_EQ(scheduler_.workers().at(start.worker).runs.size(), 1U);
+  EXPECT_TRUE(Plan().stops.empty());
+}
+
+TEST_F(SchedulerTest, RunOfThePreviousIncarnationEndsWithTheNextReport) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Plan();
+  Started(orders);
+  const std::string& id = orders.starts[0].worker;
+  WorkerEntry entry = scheduler_.workers().at(id).entry;
+  entry.started_at_ms = 2;
+  now_ += Millis{5};
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  WorkerReport report;
+  report.clock_ms = 20;
+  report.started_at_ms = 2;
+  now_ += Millis{10};
+  scheduler_.OnReport(id, report, now_, now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 TEST_F(SchedulerTest, JobFailsOnceATaskHasUsedItsAttempts) {
   AddWorker("w1");
   AddWorker("w2");
