--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -21,8 +21,7 @@
   return it && it->is_int64() ? it->get_int64() : 0;
 }
 
-// Returns a position in a list; nullopt if the value is no whole number of the
-// range.
+// Returns a position in a list of `size` entries; nullopt if the value is none.
 std::optional<std::size_t> Position(const json::value& value,
                                     std::size_t size) {
   boost::system::error_code ec;
