A job is denied only after a renewal sent since the request

What callers saw: a leader cut off from the store answered 410 to GET and DELETE of a job that its successor had accepted; a client that gets 410 for a cancel takes the job as cancelled, and it runs on. Cause: "no such job" was told from memory while the last renewal was at most 2.5 s old, but another node may take the lease 1 s after it. Class: memory taken as the whole truth without proof that nobody else could have changed it. Change: the leader asks for a renewal; only one that was sent after the request and succeeded shows that it still led then. It waits for two stalled commits at most, then answers 503. Each 410 leaves a line job_unknown with the term, the jobs known and the age of the renewal, and is counted.

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -33,8 +33,9 @@
 /// responds in 4 ms, or in 240 ms when slowed by a factor of 60.
 constexpr Millis kStoreStall{800};
 constexpr Millis kStallCheckInterval{300};
-/// "No such job" is returned only if the last lease renewal is this recent.
-constexpr Millis kFreshRenewalAge{2500};
+/// Longest wait for the renewal that confirms that a job is unknown: one commit
+/// may be in progress, the next one counts.
+constexpr Millis kConfirmTimeout = kStoreStall * 2;
 /// Retry-After without a leader: a takeover takes 0.3 to 2 s.
 constexpr std::int64_t kRetryAfterS = 1;
 /// Retry-After while the store is unavailable: it has been for most of a second
@@ -179,21 +180,25 @@
     const jobs::Queue copy = *queue;
     co_return co_await Submit(copy, std::move(id), std::move(call));
   }
-  if (call.method == "GET") co_return JobStateReply(id);
+  if (call.method == "GET") {
+    co_return co_await JobState(std::move(id), std::move(call));
+  }
   if (call.method == "DELETE") {
     co_return co_await Cancel(std::move(id), std::move(call));
   }
   co_return Refused(405, "method not allowed");
 }
 
+bool NodeProcess::IsStoreStalled(Millis now) const {
+  return committing_ && now - commit_started_ > kStoreStall;
+}
+
 Awaitable<Reply> NodeProcess::Submit(const jobs::Queue& queue, std::string id,
                                      Call call) {
   const std::uint64_t term = term_;
   const Millis begin = clock_.Now();
   if (!scheduler_.FindJob(id)) {
-    if (committing_ && begin - commit_started_ > kStoreStall) {
-      co_return StoreUnavailable();
-    }
+    if (IsStoreStalled(begin)) co_return StoreUnavailable();
     auto spec = platform::DecodeJob(call.body);
     if (!spec) {
       LogLine(LogLevel::kInfo, "job_rejected")
@@ -220,8 +225,7 @@
     }
     const Millis now = clock_.Now();
     if (now >= limit) break;
-    const bool stalled = committing_ && now - commit_started_ > kStoreStall;
-    if (stalled && scheduler_.Withdraw(id)) {
+    if (IsStoreStalled(now) && scheduler_.Withdraw(id)) {
       co_return StoreUnavailable();
     }
     co_await committed_signal_.Wait(std::min(limit - now, kStallCheckInterval));
@@ -234,29 +238,57 @@
   co_return Refused(504, "not known whether the job was stored");
 }
 
-Reply NodeProcess::JobStateReply(std::string_view id) {
+Awaitable<Reply> NodeProcess::JobState(std::string id, Call call) {
   const jobs::Job* job = scheduler_.FindJob(id);
-  if (!job || !job->stored) {
-    if (clock_.Now() - renewed_ > kFreshRenewalAge) {
-      return StoreUnavailable();
-    }
-    return Refused(410, "no such job");
+  while (!job || !job->stored) {
+    if (auto reply = co_await ConfirmUnknown(id, call)) co_return *reply;
+    job = scheduler_.FindJob(id);
   }
   jobs::JobState state = job->state;
   if (jobs::HasEnded(state) && job->committed_state != state) {
     state = jobs::JobState::kRunning;
   }
-  return {200, platform::EncodeJobState(jobs::ToText(state)), 0};
+  co_return Reply{200, platform::EncodeJobState(jobs::ToText(state)), 0};
+}
+
+// Returns the reply for a job that isn't stored, or nothing if it has been
+// stored meanwhile. Another node may have taken the lease and accepted the job
+// until a renewal that was sent after the request succeeds.
+Awaitable<std::optional<Reply>> NodeProcess::ConfirmUnknown(std::string_view id,
+                                                            const Call& call) {
+  const std::uint64_t term = term_;
+  const Millis asked = clock_.Now();
+  const Millis limit =
+      std::min(call.deadline - kReplyReserve, asked + kConfirmTimeout);
+  const auto is_stored = [this, id] {
+    const jobs::Job* job = scheduler_.FindJob(id);
+    return job && job->stored;
+  };
+  while (IsLeading(term) && !is_stored() && renewed_ <= asked) {
+    const Millis now = clock_.Now();
+    if (now >= limit || IsStoreStalled(now)) co_return StoreUnavailable();
+    renewal_wanted_since_ = std::max(renewal_wanted_since_, asked);
+    commit_signal_.Notify();
+    co_await committed_signal_.Wait(std::min(limit - now, kStallCheckInterval));
+  }
+  if (!IsLeading(term)) co_return Reply{0, {}, 0};
+  if (is_stored()) co_return std::nullopt;
+  metrics_.Count("hemlockward_unknown_jobs_total");
+  LogLine(LogLevel::kInfo, "job_unknown")
+      .With("job", id)
+      .With("method", call.method)
+      .With("term", term)
+      .With("jobs", scheduler_.job_count())
+      .With("renewed_ms_ago", (clock_.Now() - renewed_).count)
+      .With("after_ms", (clock_.Now() - asked).count);
+  co_return Refused(410, "no such job");
 }
 
 Awaitable<Reply> NodeProcess::Cancel(std::string id, Call call) {
   const std::uint64_t term = term_;
   const Millis begin = clock_.Now();
-  if (!scheduler_.Cancel(id, begin)) {
-    if (begin - renewed_ > kFreshRenewalAge) {
-      co_return StoreUnavailable();
-    }
-    co_return Refused(410, "no such job");
+  while (!scheduler_.Cancel(id, begin)) {
+    if (auto reply = co_await ConfirmUnknown(id, call)) co_return *reply;
   }
   commit_signal_.Notify();
   RequestPlan();
--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -37,7 +37,9 @@
 Awaitable<void> NodeProcess::CommitLoop(std::uint64_t term) {
   while (IsLeading(term) && !handing_over_) {
     const Millis now = clock_.Now();
-    const Millis due = renewed_ + kRenewInterval - now;
+    const Millis due = renewed_ > renewal_wanted_since_
+                           ? renewed_ + kRenewInterval - now
+                           : Millis{0};
     const Millis pause = commit_started_ + kCommitInterval - now;
     if (pause.count > 0) {
       co_await kernel::Sleep(pause);
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -108,7 +108,10 @@
   Awaitable<Reply> HandleAsLeader(Call call);
   Awaitable<Reply> Submit(const jobs::Queue& queue, std::string id, Call call);
   Awaitable<Reply> Cancel(std::string id, Call call);
-  Reply JobStateReply(std::string_view id);
+  Awaitable<Reply> JobState(std::string id, Call call);
+  Awaitable<std::optional<Reply>> ConfirmUnknown(std::string_view id,
+                                                 const Call& call);
+  [[nodiscard]] bool IsStoreStalled(Millis now) const;
   Awaitable<Reply> Forward(const Call& call, bool* may_have_run);
 
   // Leadership (leadership.cc).
@@ -244,6 +247,8 @@
   std::uint64_t heartbeat_version_ = 0;
   std::uint64_t heartbeat_number_ = 0;
   Millis renewed_{0};  ///< Send time of the newest successful renewal.
+  /// A renewal that is sent after this time is awaited.
+  Millis renewal_wanted_since_{-1};
   Millis lease_taken_{0};
   Millis last_vm_order_{0};  ///< Send time of the newest VM order.
   Millis started_{0};
