A task that crashes each worker is given up after it has run alone

Cause: only ends that a worker lists as failed count towards `attempts`; a worker that crashed lists none, so nothing limited such a task. Class: a failure that destroys its own evidence isn't counted. Change: each run that is lost with its worker is stored before the task starts again, and a suspect's next run is stored before it starts, so that the next leader knows it whoever sees the crash. After two losses a task runs alone; if that worker crashes too, nothing else can have caused it, and the job fails. Tasks lost together aren't placed together if there is a choice. A run that a worker lists later wasn't lost, and a long-running task at work is cleared. A later registration on a silent worker's VM now ends it, as a listing does.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -217,7 +217,7 @@
     return;
   }
   state.ordered_at = now;
-  scheduler.EndWorker(order.worker, now);
+  scheduler.EndWorker(order.worker, WorkerLoss::kPlanned, now);
   state.vm.worker.clear();
   state.vm.state = order.wave > 0 ? VmState::kUpkeep : VmState::kMoving;
   if (!order.pool.empty()) state.vm.pool = order.pool;
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -21,6 +21,9 @@
 // value.
 constexpr Millis kPaceInterval{500};
 constexpr int kPaceStep = 20;
+// A task that must run alone waits this long for a worker without any runs.
+// Then it shares one with long-running tasks, which a crash would interrupt.
+constexpr Millis kEmptyWorkerWait = base::Seconds(2);
 // Fractions of the tail latency target at which filling tasks are slowed down
 // or sped up.
 constexpr double kTailHigh = 0.85;
@@ -124,11 +127,16 @@
 }
 
 bool Scheduler::CanHost(const StepSpec& step, const std::string& step_name,
-                        const Task& task, const Worker& worker,
-                        bool avoid) const {
+                        const Task& task, const Worker& worker, bool avoid,
+                        Millis now) const {
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
   if (!need.Fits(FreeResources(worker))) return false;
+  if (worker.lone_runs > 0) return false;
+  if (task.crashes.suspicion() == Suspicion::kRunAlone) {
+    const bool waited = now - task.idle_since > kEmptyWorkerWait;
+    if (waited ? !IsAlone(worker, nullptr) : !worker.runs.empty()) return false;
+  }
   if (!step.required_label.empty() && !HasLabel(worker, step.required_label)) {
     return false;
   }
@@ -202,13 +210,15 @@
       job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
   const bool needs_name = queue.needs_tickets || step.max_per_worker > 0;
   const std::string name = needs_name ? id.StepName() : std::string();
-  const bool restricted = needs_name || !step.required_label.empty();
+  const Suspicion suspicion = task.crashes.suspicion();
+  const bool restricted = needs_name || !step.required_label.empty() ||
+                          suspicion == Suspicion::kRunAlone;
   for (const bool avoid : {true, false}) {
     if (!avoid && task.avoid.empty()) break;
     Worker* best = nullptr;
     std::int64_t best_score = 0;
     for (Worker* it : pool.workers) {
-      if (!CanHost(step, name, task, *it, avoid)) continue;
+      if (!CanHost(step, name, task, *it, avoid, now)) continue;
       if (queue.needs_tickets &&
           !TicketFor(name, *it, orders, pool.workers, now)) {
         continue;
@@ -220,6 +230,10 @@
       if (!step.data_rack.empty() && !HasLabel(*it, step.data_rack)) {
         score += 2 * kScorePenalty;
       }
+      // Tasks that were lost together may include one that crashes workers.
+      if (suspicion == Suspicion::kSuspect && it->suspect_runs > 0) {
+        score += 4 * kScorePenalty;
+      }
       if (step.long_running) {
         if (it->awaits_upkeep) score += kScorePenalty;
         // A long-running task prevents its VM from being moved to another pool,
@@ -241,13 +255,19 @@
                           int number, Pool& pool, Orders& orders, Millis now) {
   Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
   if (!worker) return false;
+  Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+  if (!task.crashes.empty() && task.crashes.announced_run != number) {
+    task.crashes.announced_run = number;
+    ++job.crash_changes;
+    unsaved_jobs_.insert(&job);
+    return false;
+  }
   StartOrder order;
   order.worker = worker->entry.id;
   order.task = id;
   order.run = number;
   order.deadline_ms = LeaseEnd(*worker, now);
-  order.checkpoint =
-      job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
+  order.checkpoint = task.checkpoint;
   if (queue.needs_tickets) {
     order.ticket =
         *TicketFor(id.StepName(), *worker, orders, pool.workers, now);
@@ -267,6 +287,7 @@
   std::string checkpoint;
   for (const Task& it : state.tasks) {
     if (it.active_runs > 0 || it.possibly_running) return false;
+    if (!IsHistoryStored(job, it)) return false;
     number = std::max(number, NextRun(it));
     if (!it.checkpoint.empty()) checkpoint = it.checkpoint;
   }
@@ -311,16 +332,18 @@
       for (int i = 0; i < spec.task_count; ++i) {
         if (orders.starts.size() >= max_starts_) return false;
         Task& task = step.tasks[i];
-        if (task.done || task.active_runs > 0 || task.possibly_running)
+        if (task.done || task.active_runs > 0 || task.possibly_running ||
+            !IsHistoryStored(job, task)) {
           continue;
+        }
         const TaskId id{job.id, k, s, i};
         if (StartTask(job, queue, id, NextRun(task), pool, orders, now)) {
           continue;
         }
         all = false;
         // The other tasks of the step have the same need and fail too, unless
-        // they avoid different workers.
-        if (task.avoid.empty()) break;
+        // they avoid different workers or this one is a suspect.
+        if (task.avoid.empty() && task.crashes.empty()) break;
       }
     }
   }
@@ -426,7 +449,7 @@
           .With("worker", id)
           .With("runs", worker.runs.size())
           .With("heard_ms_ago", (now - worker.last_report_at).count);
-      ReleaseAll(worker, now);
+      LoseRuns(worker, WorkerLoss::kOutOfReach, now);
       worker.unresponsive = true;
     }
     if (worker.entry.draining && worker.listed) Evacuate(worker);
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -70,7 +70,10 @@
   return true;
 }
 
-bool ApplyFailed(const json::value& value, Job& job) {
+// Reads a row [occurrence, step, index, [run...]] and adds the runs to the
+// list of the task that `runs_of` returns.
+bool ApplyRuns(const json::value& value, Job& job,
+               std::vector<int>& (*runs_of)(Task&)) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 4 || !(*row)[3].is_array()) return false;
   const auto occurrence = Position((*row)[0], job.occurrences.size());
@@ -85,11 +88,23 @@
     boost::system::error_code ec;
     const int run = it.to_number<int>(ec);
     if (ec) return false;
-    tasks[*index].failed_runs.push_back(run);
+    runs_of(tasks[*index]).push_back(run);
   }
   return true;
 }
 
+std::vector<int>& FailedRuns(Task& task) { return task.failed_runs; }
+std::vector<int>& LostRuns(Task& task) { return task.crashes.lost_runs; }
+
+// Applies each entry of the list `name`, which may be missing.
+template <class Apply>
+bool ApplyEach(const json::object& row, std::string_view name, Apply apply) {
+  const json::value* list = row.if_contains(name);
+  if (!list || !list->is_array()) return true;
+  const json::array& entries = list->get_array();
+  return std::all_of(entries.begin(), entries.end(), apply);
+}
+
 }  // namespace
 
 // Format: one line of JSON, then the unmodified request body of the client.
@@ -119,6 +134,7 @@
   }
   json::array done;
   json::array failed;
+  json::array lost;
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
       const Step& step = job.occurrences[k].steps[s];
@@ -126,16 +142,21 @@
       for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
         marks += task.done ? '1' : '0';
-        if (task.failed_runs.empty() || task.done) continue;
-        const json::array runs(task.failed_runs.begin(),
-                               task.failed_runs.end());
-        failed.push_back(json::array{k, s, i, runs});
+        if (task.done) continue;
+        const auto add = [&](json::array& rows, const std::vector<int>& runs) {
+          if (runs.empty()) return;
+          rows.push_back(
+              json::array{k, s, i, json::array(runs.begin(), runs.end())});
+        };
+        add(failed, task.failed_runs);
+        add(lost, task.crashes.RunsToStore());
       }
       if (step.done > 0) done.push_back(json::array{k, s, marks});
     }
   }
   row["done"] = std::move(done);
   if (!failed.empty()) row["failed"] = std::move(failed);
+  if (!lost.empty()) row["lost"] = std::move(lost);
   return json::serialize(row);
 }
 
@@ -149,19 +170,15 @@
       !queue.empty()) {
     job.queue = queue;
   }
-  const json::value* done = row->if_contains("done");
-  if (done && done->is_array()) {
-    for (const json::value& it : done->get_array()) {
-      if (!ApplyDone(it, job)) return false;
-    }
-  }
-  const json::value* failed = row->if_contains("failed");
-  if (failed && failed->is_array()) {
-    for (const json::value& it : failed->get_array()) {
-      if (!ApplyFailed(it, job)) return false;
-    }
-  }
-  return true;
+  const auto done = [&job](const auto& it) { return ApplyDone(it, job); };
+  const auto failed = [&job](const auto& it) {
+    return ApplyRuns(it, job, FailedRuns);
+  };
+  const auto lost = [&job](const auto& it) {
+    return ApplyRuns(it, job, LostRuns);
+  };
+  return ApplyEach(*row, "done", done) && ApplyEach(*row, "failed", failed) &&
+         ApplyEach(*row, "lost", lost);
 }
 
 std::string EncodeWorkerRow(const Worker& worker) {
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -29,6 +29,7 @@
 constexpr Millis kEjectionTime{4000};
 constexpr Millis kStopRetryInterval{200};
 constexpr int kFullPace = 100;
+constexpr int kFullPercent = 100;
 // A reading of a worker's clock up to this age is extrapolated at the local
 // rate; the error is at most the drift over this time. For older readings the
 // slowest rate is assumed for the time beyond it, so that no lease is longer
@@ -111,10 +112,11 @@
   worker.used += run.need;
   if (step.max_per_worker > 0) ++worker.per_step[id.StepName()];
   if (step.tail_target.count > 0) ++worker.serving_runs;
+  Task& task = TaskOf(job, id);
+  SetSuspicion(worker, run, task.crashes.suspicion());
   worker.runs[id] = run;
   ++run_count_;
   ++job.active_runs;
-  Task& task = TaskOf(job, id);
   ++task.active_runs;
   task.started = true;
   task.possibly_running = false;
@@ -124,6 +126,7 @@
 void Scheduler::EndRun(Worker& worker, std::map<TaskId, Run>::iterator it,
                        Millis now) {
   Run& run = it->second;
+  SetSuspicion(worker, run, Suspicion::kNone);
   worker.used -= run.need;
   const StepSpec& step = run.job->spec.steps[run.task.step];
   if (step.max_per_worker > 0) {
@@ -141,8 +144,62 @@
   if (worker.runs.empty()) worker.idle_since = now;
 }
 
-void Scheduler::ReleaseAll(Worker& worker, Millis now) {
+bool IsAlone(const Worker& worker, const Run* run) {
+  return std::all_of(
+      worker.runs.begin(), worker.runs.end(), [run](const auto& it) {
+        const Run& other = it.second;
+        return &other == run ||
+               (other.job->long_running && other.percent >= kFullPercent);
+      });
+}
+
+void Scheduler::SetSuspicion(Worker& worker, Run& run, Suspicion suspicion) {
+  const auto count = [&worker, &run](int by) {
+    if (run.suspicion != Suspicion::kNone) worker.suspect_runs += by;
+    if (run.suspicion == Suspicion::kRunAlone) worker.lone_runs += by;
+  };
+  count(-1);
+  run.suspicion = suspicion;
+  count(+1);
+}
+
+void Scheduler::LoseRuns(Worker& worker, WorkerLoss loss, Millis now) {
+  std::vector<std::pair<Run, bool>> lost;
+  for (const auto& [id, run] : worker.runs) {
+    lost.emplace_back(run, IsAlone(worker, &run));
+  }
   while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
+  if (loss == WorkerLoss::kPlanned || worker.entry.draining) return;
+  for (const auto& [run, alone] : lost) RecordLoss(run, loss, alone, now);
+}
+
+void Scheduler::RecordLoss(const Run& run, WorkerLoss loss, bool alone,
+                           Millis now) {
+  Job& job = *run.job;
+  Task& task = TaskOf(job, run.task);
+  if (HasEnded(job.state) || task.done) return;
+  if (!task.crashes.Add(run.number)) return;
+  ++job.crash_changes;
+  unsaved_jobs_.insert(&job);
+  const std::size_t losses = task.crashes.lost_runs.size();
+  LogLine(LogLevel::kInfo, "run_lost")
+      .With("task", run.task.ToText())
+      .With("run", run.number)
+      .With("losses", losses)
+      .With("how", loss == WorkerLoss::kCrashed ? "crash" : "out_of_reach")
+      .With("alone", alone);
+  if (!task.crashes.ShouldGiveUp(loss, alone)) return;
+  LogLine(LogLevel::kWarning, "job_failed")
+      .With("job", job.id)
+      .With("task", run.task.ToText())
+      .With("crashed_workers", losses);
+  FailJob(job, now);
+}
+
+void Scheduler::RecordSurvival(Job& job, Task& task, int run) {
+  if (!task.crashes.Remove(run)) return;
+  ++job.crash_changes;
+  if (!HasEnded(job.state)) unsaved_jobs_.insert(&job);
 }
 
 void Scheduler::BeginIncarnation(Worker& worker, std::int64_t started_at_ms,
@@ -155,6 +212,10 @@
   worker.reported_end_number = worker.committed_end_number =
       worker.confirmed_end_number = 0;
   if (worker.runs.empty()) return;
+  for (auto& [id, run] : worker.runs) {
+    run.worker_restarted = true;
+    run.was_alone = IsAlone(worker, &run);
+  }
   // Starts sent since the restart carry a lease by the clock of the previous
   // incarnation, which the worker limits to the longest one.
   const Millis length = settings_.longest_lease + kLeaseMargin;
@@ -253,7 +314,13 @@
     const Run& run = it->second;
     const bool settled =
         run.phase == RunPhase::kRunning && run.settled_from < sent;
-    if (settled && !active.contains(it->first)) EndRun(*worker, it, now);
+    if (settled && !active.contains(it->first)) {
+      const Run ended = run;
+      EndRun(*worker, it, now);
+      if (ended.worker_restarted) {
+        RecordLoss(ended, WorkerLoss::kCrashed, ended.was_alone, now);
+      }
+    }
     it = next;
   }
 }
@@ -290,12 +357,21 @@
     run.phase = RunPhase::kRunning;
     run.settled_from = sent;
   }
+  run.worker_restarted = false;
   Task& task = TaskOf(*run.job, run.task);
   task.last_run = std::max(task.last_run, active.run);
+  RecordSurvival(*run.job, task, active.run);
   if (!active.checkpoint.empty()) task.checkpoint = active.checkpoint;
   if (active.percent != run.percent) run.progress_at = now;
   run.percent = active.percent;
   run.load = active.load;
+  const bool at_work = run.job->long_running && run.percent >= kFullPercent;
+  if (at_work && !task.crashes.empty()) {
+    for (const int it : std::vector<int>(task.crashes.lost_runs)) {
+      RecordSurvival(*run.job, task, it);
+    }
+    SetSuspicion(worker, run, Suspicion::kNone);
+  }
   CheckProgress(worker, run, now);
 }
 
@@ -311,6 +387,7 @@
   Task& task = TaskOf(job, end.task);
   task.last_run = std::max(task.last_run, end.run);
   task.started = true;
+  RecordSurvival(job, task, end.run);
   if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   LogLine(LogLevel::kInfo, "run_ended")
       .With("task", end.task.ToText())
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -239,76 +239,6 @@
   return n;
 }
 
-void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
-  const auto [it, fresh] = workers_.try_emplace(entry.id);
-  Worker& worker = it->second;
-  if (fresh) worker.idle_since = worker.known_since = now;
-  if (entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
-      entry.started_at_ms > worker.started_at_ms) {
-    BeginIncarnation(worker, entry.started_at_ms, now);
-    worker.adopted = false;
-  }
-  const bool moved = !fresh && worker.entry.service != entry.service;
-  worker.entry = entry;
-  worker.listed = true;
-  if (fresh || moved) {
-    LogLine(LogLevel::kInfo, "worker_listed")
-        .With("worker", entry.id)
-        .With("machine", entry.vm)
-        .With("service", entry.service)
-        .With("address", entry.address);
-  }
-}
-
-void Scheduler::RemoveWorker(std::string_view id) {
-  Worker* worker = FindWorker(id);
-  if (worker) worker->listed = false;
-}
-
-void Scheduler::EndWorker(std::string_view id, Millis now) {
-  Worker* worker = FindWorker(id);
-  if (!worker || worker->ended) return;
-  ReleaseAll(*worker, now);
-  worker->ended = true;
-  if (worker->stored)
-    rows_.push_back({kWorkerTable, worker->entry.id, "", true});
-  worker->stored = false;
-}
-
-bool Scheduler::HasReplacedWorker(const Vm& vm,
-                                  const std::string& worker) const {
-  if (!vm.worker.empty()) return vm.worker != worker;
-  // Without a worker on the VM, only these states prove that it has ended;
-  // otherwise it may just be unreachable.
-  if (vm.state == VmState::kMoving) return true;
-  if (vm.state == VmState::kUpkeep) return true;
-  const auto it = config_.services.find(vm.pool);
-  return it != config_.services.end() && it->second.headroom;
-}
-
-void Scheduler::EndReplacedWorkers(std::span<const Vm> vms, Millis sent,
-                                   Millis now) {
-  std::map<std::string_view, const Vm*> by_name;
-  for (const Vm& it : vms) by_name[it.name] = &it;
-  for (auto& [id, worker] : workers_) {
-    const bool answers = worker.adopted && !worker.unresponsive;
-    if (answers || worker.ended || worker.known_since >= sent) continue;
-    const auto it = by_name.find(worker.entry.vm);
-    if (it == by_name.end() || !HasReplacedWorker(*it->second, id)) continue;
-    LogLine(LogLevel::kInfo, "worker_replaced")
-        .With("worker", id)
-        .With("machine", worker.entry.vm)
-        .With("by", it->second->worker)
-        .With("runs", worker.runs.size());
-    EndWorker(id, now);
-  }
-}
-
-Worker* Scheduler::FindWorker(std::string_view id) {
-  const auto it = workers_.find(id);
-  return it == workers_.end() ? nullptr : &it->second;
-}
-
 std::uint64_t Scheduler::WriteRow(RowWrite row) {
   std::erase_if(rows_, [&row](const RowWrite& it) {
     return it.table == row.table && it.key == row.key;
@@ -361,7 +291,7 @@
     if (job.stored || over) {
       batch.rows.push_back({kProgressTable, job.id, EncodeProgressRow(job)});
     }
-    batch.committed_states.emplace_back(job.id, job.state);
+    batch.jobs.push_back({job.id, job.state, job.crash_changes});
   }
   // Ends are acknowledged only after all of their changes are written.
   if (!unsaved_jobs_.empty()) return batch;
@@ -375,12 +305,13 @@
 }
 
 void Scheduler::OnCommitted(const Batch& batch) {
-  for (const auto& [id, state] : batch.committed_states) {
-    const auto it = jobs_.find(id);
+  for (const CommittedJob& committed : batch.jobs) {
+    const auto it = jobs_.find(committed.id);
     if (it == jobs_.end()) continue;
     Job& job = *it->second;
     job.stored = true;
-    job.committed_state = state;
+    job.committed_state = committed.state;
+    job.committed_crash_changes = committed.crash_changes;
   }
   for (const EndMark& it : batch.ends) {
     Worker* worker = FindWorker(it.worker);
@@ -405,9 +336,9 @@
 
 void Scheduler::OnCommitFailed(const Batch& batch) {
   std::set<std::string_view> jobs;
-  for (const auto& [id, state] : batch.committed_states) {
-    jobs.insert(id);
-    const auto it = jobs_.find(id);
+  for (const CommittedJob& committed : batch.jobs) {
+    jobs.insert(committed.id);
+    const auto it = jobs_.find(committed.id);
     if (it == jobs_.end()) continue;
     it->second->sent = false;
     unsaved_jobs_.insert(it->second.get());
@@ -548,9 +479,11 @@
         std::int64_t active_runs = 0;
         for (const Task& task : step.tasks) {
           active_runs += task.active_runs > 0 ? 1 : 0;
-          demand.stuck =
-              demand.stuck || (spec.long_running && task.active_runs == 0 &&
-                               now - task.idle_since > kStuckAfter);
+          const bool needs_vm = spec.long_running || task.crashes.suspicion() ==
+                                                         Suspicion::kRunAlone;
+          demand.stuck = demand.stuck ||
+                         (needs_vm && !task.done && task.active_runs == 0 &&
+                          now - task.idle_since > kStuckAfter);
         }
         demand.running_cpu += active_runs * cpu;
         demand.ready_cpu += std::max<std::int64_t>(0, left - active_runs) * cpu;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/crash_history.h"
 #include "jobs/demand.h"
 #include "jobs/model.h"
 
@@ -42,6 +43,7 @@
   int active_runs = 0;  ///< Number of runs that are or may be in progress.
   int last_run = 0;
   std::vector<int> failed_runs;
+  CrashHistory crashes;
   /// Workers on which the task failed or stalled.
   std::vector<std::string> avoid;
   std::string checkpoint;
@@ -75,6 +77,10 @@
   JobState committed_state = JobState::kPending;
   bool stored = false;
   bool sent = false;  ///< A transaction that contains the job was sent.
+  /// Number of changes to the crash histories of its tasks, and how many of
+  /// them are in the store.
+  int crash_changes = 0;
+  int committed_crash_changes = 0;
   bool earlier_term = false;
   bool long_running = false;
   Millis over_since{0};
@@ -109,6 +115,11 @@
   Millis settled_from{0};
   int percent = 0;
   Millis progress_at{0};
+  /// Of its task when it began; determines what may run beside it.
+  Suspicion suspicion = Suspicion::kNone;
+  /// Its worker has restarted. The run was lost unless a later report lists it.
+  bool worker_restarted = false;
+  bool was_alone = false;  ///< With `worker_restarted`: on the lost worker.
   std::int64_t load = 0;
   Millis pace_changed_at{-1};
   int pace = 100;
@@ -136,6 +147,8 @@
   bool unresponsive = false;
   bool stops_wanted = false;  ///< At least one run has `stop_wanted` set.
   int serving_runs = 0;       ///< Runs of tasks with a tail latency target.
+  int suspect_runs = 0;       ///< Runs of tasks that may crash the worker.
+  int lone_runs = 0;          ///< Of these, runs that must be alone.
   Millis refused_until{0};
   std::int64_t started_at_ms = 0;
   /// Reading of its clock at local time `clock_at`.
@@ -162,6 +175,14 @@
 
 /// A long-running task pins its VM to the pool.
 bool HostsLongRunningTask(const Worker& worker);
+/// Whether no run on the worker except `run` may crash it: long-running tasks
+/// at work have shown that they don't.
+bool IsAlone(const Worker& worker, const Run* run);
+/// Whether the store holds the task's crash history; it isn't started before.
+inline bool IsHistoryStored(const Job& job, const Task& task) {
+  return task.crashes.empty() ||
+         job.crash_changes == job.committed_crash_changes;
+}
 
 /// Order of jobs that can still meet their objective. All values except
 /// `kSmallestFirst` exist only for comparison.
@@ -231,10 +252,17 @@
   std::int64_t number = 0;
 };
 
+/// What the store holds of a job once its rows are committed.
+struct CommittedJob {
+  std::string id;
+  JobState state = JobState::kPending;
+  int crash_changes = 0;
+};
+
 /// Content of one transaction, and the state that holds once it is committed.
 struct Batch {
   std::vector<RowWrite> rows;
-  std::vector<std::pair<std::string, JobState>> committed_states;
+  std::vector<CommittedJob> jobs;
   std::vector<EndMark> ends;         ///< Ends to acknowledge after the commit.
   std::vector<std::string> workers;  ///< Workers whose rows are written.
 };
@@ -261,8 +289,8 @@
 
   void UpsertWorker(const WorkerEntry& entry, Millis now);
   void RemoveWorker(std::string_view id);
-  /// Ends a worker whose VM was moved or taken down: nothing runs on it.
-  void EndWorker(std::string_view id, Millis now);
+  /// Ends a worker whose VM runs another one or none: nothing runs on it.
+  void EndWorker(std::string_view id, WorkerLoss loss, Millis now);
   /// Ends unresponsive workers whose VM has a different worker or none in a
   /// complete listing that was requested at `sent`.
   void EndReplacedWorkers(std::span<const Vm> vms, Millis sent, Millis now);
@@ -365,7 +393,13 @@
               RunPhase phase, Millis now);
   /// Removes a run that is certainly no longer in progress.
   void EndRun(Worker& worker, std::map<TaskId, Run>::iterator it, Millis now);
-  void ReleaseAll(Worker& worker, Millis now);
+  /// Ends all runs of a worker that runs them no longer.
+  void LoseRuns(Worker& worker, WorkerLoss loss, Millis now);
+  /// Adds a lost run to the crash history of its task, which may be given up.
+  void RecordLoss(const Run& run, WorkerLoss loss, bool alone, Millis now);
+  /// The task has run without harm to its worker.
+  void RecordSurvival(Job& job, Task& task, int run);
+  void SetSuspicion(Worker& worker, Run& run, Suspicion suspicion);
   /// The worker has restarted under its id, at the Unix time `started_at_ms`.
   /// Runs sent since then may be at work there: the next reports tell.
   void BeginIncarnation(Worker& worker, std::int64_t started_at_ms, Millis now);
@@ -391,8 +425,12 @@
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
                        Pool& pool, Orders& orders, Millis now);
   [[nodiscard]] bool CanHost(const StepSpec& step, const std::string& step_name,
-                             const Task& task, const Worker& worker,
-                             bool avoid) const;
+                             const Task& task, const Worker& worker, bool avoid,
+                             Millis now) const;
+  /// Ends silent workers whose VM has registered the later worker `entry`.
+  void EndPredecessors(const WorkerEntry& entry, Millis now);
+  /// `by`: the worker that runs on its VM now; may be empty.
+  void EndReplacedWorker(Worker& worker, std::string_view by, Millis now);
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
                                        const std::string& worker) const;
--- /dev/null
+++ b/src/jobs/workers.cc
@@ -0,0 +1,103 @@
+// Which workers there are: registrations and the platform's listings of VMs.
+
+#include "base/log.h"
+#include "jobs/rows.h"
+#include "jobs/scheduler.h"
+
+namespace hemlockward::jobs {
+
+using base::LogLevel;
+using base::LogLine;
+
+void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
+  const auto [it, fresh] = workers_.try_emplace(entry.id);
+  Worker& worker = it->second;
+  if (fresh) worker.idle_since = worker.known_since = now;
+  if (entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
+      entry.started_at_ms > worker.started_at_ms) {
+    BeginIncarnation(worker, entry.started_at_ms, now);
+    worker.adopted = false;
+  }
+  const bool moved = !fresh && worker.entry.service != entry.service;
+  worker.entry = entry;
+  worker.listed = true;
+  if (fresh || moved) {
+    LogLine(LogLevel::kInfo, "worker_listed")
+        .With("worker", entry.id)
+        .With("machine", entry.vm)
+        .With("service", entry.service)
+        .With("address", entry.address);
+  }
+  if (fresh) EndPredecessors(entry, now);
+}
+
+void Scheduler::EndPredecessors(const WorkerEntry& entry, Millis now) {
+  if (entry.vm.empty()) return;
+  for (auto& [id, worker] : workers_) {
+    const bool answers = worker.adopted && !worker.unresponsive;
+    const std::int64_t started_at_ms = worker.entry.started_at_ms;
+    if (worker.entry.vm != entry.vm || worker.ended || answers ||
+        started_at_ms == 0 || started_at_ms >= entry.started_at_ms) {
+      continue;
+    }
+    EndReplacedWorker(worker, entry.id, now);
+  }
+}
+
+void Scheduler::EndReplacedWorker(Worker& worker, std::string_view by,
+                                  Millis now) {
+  LogLine(LogLevel::kInfo, "worker_replaced")
+      .With("worker", worker.entry.id)
+      .With("machine", worker.entry.vm)
+      .With("by", by)
+      .With("runs", worker.runs.size());
+  // A worker is reserved before the leader orders its VM away.
+  EndWorker(worker.entry.id,
+            worker.reserved ? WorkerLoss::kPlanned : WorkerLoss::kCrashed, now);
+}
+
+void Scheduler::RemoveWorker(std::string_view id) {
+  Worker* worker = FindWorker(id);
+  if (worker) worker->listed = false;
+}
+
+void Scheduler::EndWorker(std::string_view id, WorkerLoss loss, Millis now) {
+  Worker* worker = FindWorker(id);
+  if (!worker || worker->ended) return;
+  LoseRuns(*worker, loss, now);
+  worker->ended = true;
+  if (worker->stored)
+    rows_.push_back({kWorkerTable, worker->entry.id, "", true});
+  worker->stored = false;
+}
+
+bool Scheduler::HasReplacedWorker(const Vm& vm,
+                                  const std::string& worker) const {
+  if (!vm.worker.empty()) return vm.worker != worker;
+  // Without a worker on the VM, only these states prove that it has ended;
+  // otherwise it may just be unreachable.
+  if (vm.state == VmState::kMoving) return true;
+  if (vm.state == VmState::kUpkeep) return true;
+  const auto it = config_.services.find(vm.pool);
+  return it != config_.services.end() && it->second.headroom;
+}
+
+void Scheduler::EndReplacedWorkers(std::span<const Vm> vms, Millis sent,
+                                   Millis now) {
+  std::map<std::string_view, const Vm*> by_name;
+  for (const Vm& it : vms) by_name[it.name] = &it;
+  for (auto& [id, worker] : workers_) {
+    const bool answers = worker.adopted && !worker.unresponsive;
+    if (answers || worker.ended || worker.known_since >= sent) continue;
+    const auto it = by_name.find(worker.entry.vm);
+    if (it == by_name.end() || !HasReplacedWorker(*it->second, id)) continue;
+    EndReplacedWorker(worker, it->second->worker, now);
+  }
+}
+
+Worker* Scheduler::FindWorker(std::string_view id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+}  // namespace hemlockward::jobs
--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -110,7 +110,7 @@
                    static_cast<double>((clock_.Now() - sent).count));
   scheduler_.OnCommitted(batch);
   committed_signal_.Notify();
-  if (!batch.committed_states.empty() || !batch.workers.empty()) RequestPlan();
+  if (!batch.jobs.empty() || !batch.workers.empty()) RequestPlan();
   for (const jobs::EndMark& mark : batch.ends) {
     const auto it = worker_signals_.find(mark.worker);
     if (it != worker_signals_.end()) it->second->Notify();
--- /dev/null
+++ b/tests/jobs_crashes_test.cc
@@ -0,0 +1,206 @@
+// Tasks that crash the workers that start them, and workers that are lost for
+// other reasons.
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "jobs_scheduler_fixture.h"
+
+namespace hemlockward::jobs {
+namespace {
+
+using testing::kWall;
+using testing::OneStep;
+using testing::SchedulerTest;
+using testing::Step;
+
+class CrashTest : public SchedulerTest {
+ protected:
+  // The worker on the VM `vm` crashes, if there is one, and another one
+  // registers.
+  void Restart(const std::string& vm) {
+    for (auto& [id, worker] : scheduler_.workers()) {
+      if (worker.entry.vm == vm) worker.unresponsive = true;
+    }
+    WorkerEntry entry;
+    entry.id = vm + "-" + std::to_string(++lives_);
+    entry.address = "10.0.0.1:80";
+    entry.service = "pool";
+    entry.vm = vm;
+    entry.capacity = {8000, 64'000, 0};
+    entry.started_at_ms = 1000 + lives_;
+    scheduler_.UpsertWorker(entry, now_);
+    WorkerReport report;
+    report.clock_ms = now_.count + 500;
+    report.started_at_ms = entry.started_at_ms;
+    scheduler_.OnReport(entry.id, report, now_, now_);
+    Commit();
+  }
+
+  void AddVms(int n) {
+    for (int i = 1; i <= n; ++i) Restart("vm" + std::to_string(i));
+  }
+
+  Orders Start() {
+    Orders orders = PlanStarts();
+    Started(orders);
+    return orders;
+  }
+
+  void Crash(const std::string& worker) {
+    Restart(scheduler_.workers().at(worker).entry.vm);
+  }
+
+  const Task& FirstTask(const std::string& job) {
+    return scheduler_.FindJob(job)->occurrences[0].steps[0].tasks[0];
+  }
+
+  int lives_ = 0;
+};
+
+TEST_F(CrashTest, TaskThatCrashesEachWorkerIsGivenUp) {
+  AddVms(6);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  Submit("sound", OneStep(Step(6, 1000)));
+  int starts = 0;
+  for (int i = 0; i < 20; ++i) {
+    std::string crashed;
+    for (const StartOrder& it : Start().starts) {
+      if (it.task.job != "deadly") continue;
+      ++starts;
+      crashed = it.worker;
+    }
+    if (!crashed.empty()) Crash(crashed);
+  }
+  EXPECT_EQ(starts, 3);
+  EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
+  EXPECT_EQ(scheduler_.FindJob("sound")->state, JobState::kRunning);
+}
+
+TEST_F(CrashTest, LossOfAWorkerIsStoredBeforeTheTaskStartsAgain) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Start();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  scheduler_.workers().at(orders.starts[0].worker).unresponsive = true;
+  scheduler_.EndWorker(orders.starts[0].worker, WorkerLoss::kCrashed, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  // The transaction wasn't applied.
+  scheduler_.OnCommitFailed(scheduler_.TakeBatch());
+  EXPECT_TRUE(Plan().starts.empty());
+  EXPECT_EQ(Start().starts.size(), 1U);
+}
+
+// A leader may be lost together with the worker that its last start crashed.
+TEST_F(CrashTest, NextLeaderKnowsTheWorkersLostToATask) {
+  AddVms(4);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string row = EncodeJobRow(*scheduler_.FindJob("a"));
+  Crash(Start().starts.at(0).worker);
+  ASSERT_EQ(Start().starts.size(), 1U);
+  const std::string progress = EncodeProgressRow(*scheduler_.FindJob("a"));
+  Scheduler next{SchedulerSettings{Millis{4000}}};
+  next.BeginTerm(1, now_);
+  next.SetConfiguration(config_);
+  ASSERT_TRUE(next.LoadJob(
+      "a", row, [](std::string_view) { return OneStep(Step(1, 1000)); }, now_,
+      kWall));
+  ASSERT_TRUE(next.LoadProgress("a", progress, now_));
+  const Task& task = next.FindJob("a")->occurrences[0].steps[0].tasks[0];
+  EXPECT_EQ(task.crashes.lost_runs.size(), 2U);
+  EXPECT_EQ(task.crashes.suspicion(), Suspicion::kRunAlone);
+}
+
+TEST_F(CrashTest, TaskLostWithTwoWorkersRunsAlone) {
+  AddVms(3);
+  Submit("a", OneStep(Step(1, 1000)));
+  Crash(Start().starts.at(0).worker);
+  Crash(Start().starts.at(0).worker);
+  Submit("b", OneStep(Step(24, 1000)));
+  std::string alone;
+  for (int i = 0; i < 5; ++i) {
+    const Orders orders = Plan();
+    Started(orders);
+    Commit();
+    for (const StartOrder& it : orders.starts) {
+      if (it.task.job == "a") alone = it.worker;
+      if (it.task.job == "b") EXPECT_NE(it.worker, alone);
+    }
+    if (alone.empty()) Report(scheduler_.workers().begin()->first, {});
+  }
+  // All workers are busy.
+  EXPECT_TRUE(alone.empty());
+  EXPECT_TRUE(scheduler_.Demand(now_ + base::Seconds(1)).at("pool").stuck);
+  AddVms(0);
+  Restart("vm9");
+  const Orders orders = Start();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  EXPECT_EQ(orders.starts[0].task.job, "a");
+  Submit("c", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+}
+
+TEST_F(CrashTest, WorkerThatWasOutOfReachHasNotCrashed) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const StartOrder start = Start().starts.at(0);
+  Worker& worker = scheduler_.workers().at(start.worker);
+  worker.unresponsive = true;
+  Plan(base::Seconds(5));
+  EXPECT_EQ(FirstTask("a").crashes.lost_runs.size(), 1U);
+  WorkerReport report;
+  report.clock_ms = now_.count;
+  report.started_at_ms = worker.started_at_ms;
+  report.ended = {{1, start.task, start.run, EndKind::kLapsed, ""}};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
+TEST_F(CrashTest, PlannedEndOfAWorkerIsNoCrash) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string worker = Start().starts.at(0).worker;
+  scheduler_.workers().at(worker).entry.draining = true;
+  scheduler_.EndWorker(worker, WorkerLoss::kCrashed, now_);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+  const std::string other = Start().starts.at(0).worker;
+  scheduler_.EndWorker(other, WorkerLoss::kPlanned, now_);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
+TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
+  AddVms(3);
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  Submit("a", OneStep(step));
+  Crash(Start().starts.at(0).worker);
+  const StartOrder start = Start().starts.at(0);
+  EXPECT_EQ(FirstTask("a").crashes.lost_runs.size(), 1U);
+  now_ += Millis{10};
+  WorkerReport report;
+  report.clock_ms = now_.count;
+  report.started_at_ms = scheduler_.workers().at(start.worker).started_at_ms;
+  report.active = {{start.task, start.run, "", 100, 0}};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+  EXPECT_EQ(scheduler_.workers().at(start.worker).suspect_runs, 0);
+}
+
+TEST_F(CrashTest, WorkerWhoseCapacityShrankTakesNoStart) {
+  AddVms(1);
+  Submit("a", OneStep(Step(4, 1000)));
+  ASSERT_EQ(Start().starts.size(), 4U);
+  WorkerEntry entry = scheduler_.workers().begin()->second.entry;
+  entry.capacity.cpu_milli = 3000;
+  scheduler_.UpsertWorker(entry, now_);
+  Submit("b", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  entry.capacity.cpu_milli = 8000;
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
+}  // namespace
+}  // namespace hemlockward::jobs
--- a/tests/jobs_scheduler_fixture.h
+++ b/tests/jobs_scheduler_fixture.h
@@ -60,6 +60,18 @@
     return scheduler_.Plan(now_, kWall + Millis{now_.count}, true);
   }
 
+  // Plans and commits until something starts: a task that was lost with its
+  // worker starts again once that is stored, and its new run with it.
+  Orders PlanStarts() {
+    constexpr int kMaxPlans = 3;
+    for (int i = 0; i < kMaxPlans; ++i) {
+      Orders orders = Plan();
+      if (!orders.starts.empty()) return orders;
+      Commit();
+    }
+    return {};
+  }
+
   void Started(const Orders& orders) {
     for (const StartOrder& it : orders.starts) {
       scheduler_.OnStart(it, StartAnswer::kStarted, now_);
