VMs of equal cost are taken into a wave in the order of the wave

Cause: VMs of equal cost were sorted by their addresses in memory, so which one went first differed from process to process, and between two leaders.

--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -283,9 +283,9 @@
       if (worker && worker->reserved) cost = 0;
       waiting.emplace_back(cost, &state);
     }
-    std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
-      return a.first != b.first ? a.first < b.first : a.second < b.second;
-    });
+    std::stable_sort(
+        waiting.begin(), waiting.end(),
+        [](const auto& a, const auto& b) { return a.first < b.first; });
     int room = wave.cap - down;
     for (auto& [cost, state] : waiting) {
       if (room <= 0) break;
