A worker that came back isn't removed by the transaction that adds it

A next leader that doesn't know the worker may start its tasks again before the worker's lease has run out (TWICE). Cause: while the store refuses transactions, the removal of a worker's row waits; if the worker comes back under its id, the same transaction removes and writes the row, and its entries have no order. Class: one change of state written by two owners, as with the jobs' rows. Evidence: DurabilityTest.WorkerThatCameBackIsNotRemovedByTheSameTransaction failed before: two rows instead of one. Change: the row that is built replaces the removal that waits.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -266,6 +266,11 @@
   for (auto& [id, worker] : workers_) {
     if (batch.rows.size() >= kMaxBatchRows) break;
     if (!worker.adopted || worker.stored || worker.ended) continue;
+    // The worker came back before its row was removed. The entries of a
+    // transaction have no order.
+    std::erase_if(batch.rows, [&id](const RowWrite& row) {
+      return row.table == kWorkerTable && row.key == id;
+    });
     batch.rows.push_back({kWorkerTable, id, EncodeWorkerRow(worker)});
     batch.workers.push_back(id);
   }
--- a/tests/jobs_durability_test.cc
+++ b/tests/jobs_durability_test.cc
@@ -370,6 +370,34 @@
   int next_job_ = 0;
 };
 
+// While the store refused transactions, a worker left and came back under its
+// id: each transaction then removed and wrote its row.
+TEST(DurabilityTest, WorkerThatCameBackIsNotRemovedByTheSameTransaction) {
+  Scheduler scheduler{SchedulerSettings{kLease}};
+  scheduler.BeginTerm(0, {0});
+  WorkerEntry entry;
+  entry.id = "worker";
+  entry.service = "pool";
+  WorkerReport report;
+  const auto join = [&](Millis now) {
+    entry.started_at_ms = report.started_at_ms = report.clock_ms = now.count;
+    scheduler.UpsertWorker(entry, now);
+    scheduler.OnReport("worker", report, now, now);
+  };
+  join(Millis{1000});
+  scheduler.OnCommitted(scheduler.TakeBatch());
+  scheduler.EndWorker("worker", WorkerLoss::kPlanned, Millis{2000});
+  scheduler.RemoveWorker("worker");
+  scheduler.OnCommitFailed(scheduler.TakeBatch());
+  scheduler.Plan(Millis{3000}, {}, false);
+  ASSERT_EQ(scheduler.FindWorker("worker"), nullptr);
+  join(Millis{4000});
+  const Batch batch = scheduler.TakeBatch();
+  ASSERT_EQ(batch.rows.size(), 1U);
+  EXPECT_FALSE(batch.rows[0].remove);
+  EXPECT_EQ(batch.workers, std::vector<std::string>{"worker"});
+}
+
 rc::Gen<std::vector<Action>> Actions() {
   const auto kind = rc::gen::weightedElement<Kind>({{6, Kind::kSubmit},
                                                     {3, Kind::kCancel},
