Move the test of a shrunk capacity to the tests of workers

It is about what a worker says of itself, not about crashes. The same steps and checks, with a worker of the fixture in place of one on a VM. Measured: 18 tests of jobs_workers_test and 7 of jobs_crashes_test pass.

No functional change

--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -188,19 +188,5 @@
   EXPECT_EQ(scheduler_.workers().at(start.worker).suspect_runs, 0);
 }
 
-TEST_F(CrashTest, WorkerWhoseCapacityShrankTakesNoStart) {
-  AddVms(1);
-  Submit("a", OneStep(Step(4, 1000)));
-  ASSERT_EQ(Start().starts.size(), 4U);
-  WorkerEntry entry = scheduler_.workers().begin()->second.entry;
-  entry.capacity.cpu_milli = 3000;
-  scheduler_.UpsertWorker(entry, now_);
-  Submit("b", OneStep(Step(1, 1000)));
-  EXPECT_TRUE(Plan().starts.empty());
-  entry.capacity.cpu_milli = 8000;
-  scheduler_.UpsertWorker(entry, now_);
-  EXPECT_EQ(Plan().starts.size(), 1U);
-}
-
 }  // namespace
 }  // namespace hemlockward::jobs
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -291,5 +291,21 @@
   }
 }
 
+TEST_F(SchedulerTest, WorkerWhoseCapacityShrankTakesNoStart) {
+  AddWorker("w");
+  Submit("a", OneStep(Step(4, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 4U);
+  Started(orders);
+  WorkerEntry entry = scheduler_.workers().at("w").entry;
+  entry.capacity.cpu_milli = 3000;
+  scheduler_.UpsertWorker(entry, now_);
+  Submit("b", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  entry.capacity.cpu_milli = 8000;
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
