Nothing starts on a worker beside a run whose need is unknown

A job is cancelled or done and the leader is lost; the next leader knows only its final state, not what its tasks need. It stops such a run, but held back starts on the worker only for 0.5 s from the report. If the stop is lost, nothing asks that worker again where it has no other run, so starts counted on room that the run still used. Cause: 'being stopped' was a time, not a state. Evidence: TakeoverTest.NothingStartsBesideARunOfAnEndedJob failed before: a start 0.7 s after the report, though no later report had come. Change: a worker takes no start while its newest report lists a run of an unknown job, and is asked for reports until none does; each repeats the stop. RenewalTest.WorkerWithARunOfAnEndedJobIsAskedAgain fails without the second half (seen). Measured: both pass, and with them the jobs_*, platform_codec and node_renewal tests (release).

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -465,7 +465,7 @@
     const bool usable = worker.listed && !worker.ended && worker.adopted &&
                         worker.stored && !worker.entry.draining &&
                         !worker.reserved && !worker.unresponsive &&
-                        now >= worker.refused_until;
+                        worker.unknown_runs == 0 && now >= worker.refused_until;
     if (!usable) continue;
     const auto it = pools.find(worker.entry.service);
     if (it == pools.end()) continue;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -15,7 +15,7 @@
 // Pause before the next start on a worker that had no room, unless a run ends
 // there.
 constexpr Millis kNoRoomPause{100};
-// Pause after a worker refused a start or reported runs of unknown jobs.
+// Pause after a worker refused a start.
 constexpr Millis kRefusedPause{500};
 // A run without progress for this long has stalled: the longest task of the
 // sites gains one percent every 42 ms, or every 340 ms on a worker slowed
@@ -305,6 +305,7 @@
   worker->adopted = true;
   for (const EndedRun& it : report.ended) OnEnd(*worker, it, now);
   std::set<TaskId> active;
+  worker->unknown_runs = 0;
   for (const ActiveRun& it : report.active) {
     active.insert(it.task);
     OnActive(*worker, it, sent, now);
@@ -335,7 +336,7 @@
     if (!known) {
       // The job ended before this term. The lease of the run is renewed with
       // that of the worker's other runs, so it does not end by itself.
-      worker.refused_until = now + kRefusedPause;
+      ++worker.unknown_runs;
       unknown_run_stops_.push_back({worker.entry.id, active.task, active.run});
       LogLine(LogLevel::kWarning, "unknown_run")
           .With("worker", worker.entry.id)
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -133,6 +133,8 @@
   WorkerEntry entry;
   std::map<TaskId, Run> runs;
   Resources used;
+  /// Runs of unknown jobs in its newest report. How much they use is unknown.
+  int unknown_runs = 0;
   bool listed = true;    ///< Its registration is in the store.
   bool ended = false;    ///< Its VM was moved or taken down.
   bool adopted = false;  ///< It has accepted the fencing token of this term.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -161,7 +161,7 @@
   if (!worker || worker->ended || !CanSendOrders()) co_return;
   const Millis sent = clock_.Now();
   const bool wait = may_wait && worker->adopted && !worker->unresponsive &&
-                    !worker->runs.empty() &&
+                    (!worker->runs.empty() || worker->unknown_runs > 0) &&
                     worker->reported_end_number == worker->committed_end_number;
   // After a silence the worker may have restarted, and then numbers its ends
   // from the start again.
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -206,6 +206,34 @@
   EXPECT_TRUE(Plan().stops.empty());
 }
 
+// The need of a run whose job had ended before this term is unknown.
+TEST_F(TakeoverTest, NothingStartsBesideARunOfAnEndedJob) {
+  scheduler_.BeginTerm(2, now_ + Millis{6000});
+  scheduler_.LoadProgress("a", R"({"state":"cancelled","queue":"queue"})",
+                          now_);
+  AddWorker("w3");
+  Submit("b", OneStep(Step(1, 1000)));
+  const Orders first = Plan();
+  ASSERT_EQ(first.starts.size(), 1U);
+  Started(first);
+  const StartOrder& other = first.starts[0];
+  const TaskId ended{"a", 0, 0, 0};
+  now_ += Millis{10};
+  Report("w3", {{other.task, other.run, "", 5, 0}, {ended, 7, "", 5, 0}});
+  Submit("c", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  // Another run ends while this one is being stopped.
+  now_ += Millis{10};
+  Report("w3", {{ended, 7, "", 5, 0}},
+         {{1, other.task, other.run, EndKind::kDone, ""}});
+  EXPECT_TRUE(Plan().starts.empty());
+  // The stop was lost, and the worker hasn't been heard since.
+  EXPECT_TRUE(Plan({700}).starts.empty());
+  now_ += Millis{10};
+  Report("w3", {});
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 TEST_F(SchedulerTest, EndsOfAnEarlierIncarnationAreNotAcknowledgedToTheNext) {
   AddWorker("w");
   Submit("a", OneStep(Step(1, 1000)));
--- a/tests/node_renewal_test.cc
+++ b/tests/node_renewal_test.cc
@@ -53,6 +53,15 @@
             RenewalStep::kRest);
 }
 
+// Nothing starts on the worker until a report shows that the run has ended.
+TEST(RenewalTest, WorkerWithARunOfAnEndedJobIsAskedAgain) {
+  jobs::Worker worker = BusyWorker();
+  worker.runs.clear();
+  worker.unknown_runs = 1;
+  EXPECT_EQ(NextRenewalStep(worker, true, kCommitWaitEnds, kNow),
+            RenewalStep::kRequest);
+}
+
 TEST(RenewalTest, NothingIsSentWithoutAFreshLease) {
   EXPECT_EQ(NextRenewalStep(BusyWorker(), false, kCommitWaitEnds, kNow),
             RenewalStep::kAwaitPermission);
