No start on a capacity that was read too long ago

What callers would see: LIMIT, at workers that don't guard their capacity. The store loses the answer to the leader's feed of registrations (or refuses its reads while it takes its commits, or stops): a worker's smaller capacity goes unread, and the leader starts more there than fits. The rule allows 4.5 s from the shrinking; the feed waited up to 7 s for a lost answer, reads refused could take any time, and with the store gone orders go on for 4 s after the last renewal, on registrations up to a heartbeat (1.5 s) older. Cause: the leader didn't know as of when it knew the registrations. Evidence: SchedulerTest.NothingStartsOnACapacityThatWasReadLongAgo failed before, with the new call in place and unused. Change: where a service's enforces_capacity is false, tasks start only up to 2.6 s after the moment for which all registrations were read; with 0.4 s for a start and 1.5 s for a heartbeat that makes 4.5 s. The feed is asked each second there, so one call a second more where nothing changes. Other services and their feed (5 s) are as before. Measured: the test passes, and the jobs_*, platform_codec, platform_reading and node_renewal tests (release). The leader's half (leader.cc) is built and has no test of its own.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -462,10 +462,11 @@
     if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].jobs.push_back(it);
   }
   for (auto& [id, worker] : workers_) {
-    const bool usable = worker.listed && !worker.ended && worker.adopted &&
-                        worker.stored && !worker.entry.draining &&
-                        !worker.reserved && !worker.unresponsive &&
-                        worker.unknown_runs == 0 && now >= worker.refused_until;
+    const bool usable =
+        worker.listed && !worker.ended && worker.adopted && worker.stored &&
+        !worker.entry.draining && !worker.reserved && !worker.unresponsive &&
+        worker.unknown_runs == 0 && now >= worker.refused_until &&
+        IsCapacityKnown(worker.entry.service, now);
     if (!usable) continue;
     const auto it = pools.find(worker.entry.service);
     if (it == pools.end()) continue;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -93,6 +93,7 @@
 void Scheduler::BeginTerm(std::uint64_t term, Millis earlier_leases_expire_at) {
   term_ = term;
   earlier_leases_expire_at_ = earlier_leases_expire_at;
+  registrations_as_of_.reset();
   active_jobs_.clear();
   unknown_run_stops_.clear();
   unsaved_jobs_.clear();
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -291,6 +291,10 @@
 
   void UpsertWorker(const WorkerEntry& entry, Millis now);
   void RemoveWorker(std::string_view id);
+  /// All registrations as of the time `at` have been applied.
+  void OnRegistrationsRead(Millis at) { registrations_as_of_ = at; }
+  /// Whether the workers of a pool start more than they have capacity for.
+  [[nodiscard]] bool MustGuardCapacity() const;
   /// Ends a worker whose VM runs another one or none: nothing runs on it.
   void EndWorker(std::string_view id, WorkerLoss loss, Millis now);
   /// Ends unresponsive workers whose VM has a different worker or none in a
@@ -436,6 +440,9 @@
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
                                        const std::string& worker) const;
+  /// Whether the capacity of the pool's workers is known well enough to start
+  /// tasks there.
+  [[nodiscard]] bool IsCapacityKnown(std::string_view pool, Millis now) const;
   [[nodiscard]] bool IsAdoptionPending(const Job& job, Millis now) const;
   const std::string* TicketFor(const std::string& step_name,
                                const Worker& worker, Orders& orders,
@@ -450,6 +457,7 @@
   std::uint64_t term_ = 0;
   Millis earlier_leases_expire_at_{0};
   Millis last_expiry_{0};
+  std::optional<Millis> registrations_as_of_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::set<Job*> active_jobs_;  ///< Jobs that have not ended.
   /// Stops for runs of unknown jobs.
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -1,5 +1,7 @@
 // Which workers there are: registrations and the platform's listings of VMs.
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "jobs/rows.h"
 #include "jobs/scheduler.h"
@@ -9,6 +11,14 @@
 using base::LogLevel;
 using base::LogLine;
 
+namespace {
+
+// A smaller capacity counts from 4.5 s after it shrank, and its registration
+// may be a heartbeat (1.5 s) behind. A start takes 0.4 s at most.
+constexpr Millis kRegistrationValidity{2600};
+
+}  // namespace
+
 void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
   const auto [it, fresh] = workers_.try_emplace(entry.id);
   Worker& worker = it->second;
@@ -31,6 +41,20 @@
   if (fresh) EndPredecessors(entry, now);
 }
 
+bool Scheduler::MustGuardCapacity() const {
+  return std::any_of(
+      config_.services.begin(), config_.services.end(), [](const auto& it) {
+        return !it.second.enforces_capacity && !it.second.headroom;
+      });
+}
+
+bool Scheduler::IsCapacityKnown(std::string_view pool, Millis now) const {
+  const auto it = config_.services.find(pool);
+  if (it != config_.services.end() && it->second.enforces_capacity) return true;
+  return registrations_as_of_ &&
+         now - *registrations_as_of_ <= kRegistrationValidity;
+}
+
 void Scheduler::EndPredecessors(const WorkerEntry& entry, Millis now) {
   if (entry.vm.empty()) return;
   for (auto& [id, worker] : workers_) {
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Millis kFeedWait = base::Seconds(5);
+/// The same where starts depend on registrations that were read lately: an
+/// unanswered feed and a slow one must be noticed in time.
+constexpr Millis kShortFeedWait{1000};
 constexpr Millis kRetryPause{150};
 /// Timeout of a start or stop order: workers respond in 5 ms, and a busy leader
 /// processes the response within 100 ms.
@@ -41,6 +44,7 @@
 
 Awaitable<bool> NodeProcess::ReadWorkers(std::uint64_t term) {
   std::set<std::string> seen;
+  const Millis sent = clock_.Now();
   const auto version = co_await platform_.ReadAll(
       platform::kWorkerEntryTable, "", kReadTimeout,
       [this, term, &seen](const platform::StoreRow& row) {
@@ -59,6 +63,7 @@
   for (const std::string& id : removed) {
     scheduler_.RemoveWorker(id);
   }
+  scheduler_.OnRegistrationsRead(sent);
   WatchAllWorkers(term);
   co_return true;
 }
@@ -102,8 +107,11 @@
       RequestPlan();
       continue;
     }
+    const Millis sent = clock_.Now();
+    const Millis wait =
+        scheduler_.MustGuardCapacity() ? kShortFeedWait : kFeedWait;
     auto page = co_await platform_.Changes(platform::kWorkerEntryTable,
-                                           workers_version_, kFeedWait);
+                                           workers_version_, wait);
     if (!IsLeading(term)) co_return;
     if (!page) {
       LogLine(LogLevel::kWarning, "worker_feed_lost")
@@ -120,6 +128,9 @@
       WatchWorker(term, it.key);
     }
     workers_version_ = std::max(workers_version_, page->version);
+    // Without changes, the store has answered at the end of the wait.
+    const bool waited = page->rows.empty() && clock_.Now() - sent >= wait;
+    scheduler_.OnRegistrationsRead(waited ? sent + wait : sent);
     RequestPlan();
   }
 }
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -335,5 +335,31 @@
   EXPECT_EQ(Plan().starts.size(), 1U);
 }
 
+// A worker whose smaller capacity can't be read starts what doesn't fit.
+TEST_F(SchedulerTest, NothingStartsOnACapacityThatWasReadLongAgo) {
+  config_.services["pool"].enforces_capacity = false;
+  scheduler_.SetConfiguration(config_);
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  scheduler_.OnRegistrationsRead(now_);
+  now_ += Millis{2500};
+  Report("w", {});
+  EXPECT_EQ(Plan({10}).starts.size(), 1U);
+  Submit("b", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan({500}).starts.empty());
+  scheduler_.OnRegistrationsRead(now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+  // The next leader has read none yet.
+  scheduler_.BeginTerm(1, now_);
+  AddWorker("w");
+  Submit("c", OneStep(Step(1, 1000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  // These workers guard their capacity themselves.
+  config_.services["pool"].enforces_capacity = true;
+  scheduler_.SetConfiguration(config_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
