Tests of capacities that change while workers run

Three cases that hold, each seen to fail with its guard taken out in a scratch edit (release): - RunBeingStoppedCountsUntilItsEndIsListed: runs being stopped left out of FreeResources; the emulator's 'everything' and 'hopeless_jobs' fail too. - TakeoverTest.NothingStartsBeforeTheFirstReport: workers planned for before they are adopted. - emulator, resizes_and_takeovers: capacities from 2 to 14 cores change every few seconds, the leader reads that up to a heartbeat later, leaders change and answers are lost; a smaller capacity counts 4.5 s later.

No functional change

--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -361,5 +361,44 @@
   EXPECT_EQ(Plan().starts.size(), 1U);
 }
 
+TEST_F(SchedulerTest, RunBeingStoppedCountsUntilItsEndIsListed) {
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 8000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  Started(orders);
+  const StartOrder& start = orders.starts[0];
+  scheduler_.Cancel("a", now_);
+  Submit("b", OneStep(Step(1, 1000)));
+  const Orders stops = Plan();
+  ASSERT_EQ(stops.stops.size(), 1U);
+  EXPECT_TRUE(stops.starts.empty());
+  scheduler_.OnStop(stops.stops[0], true, now_);
+  now_ += Millis{10};
+  Report("w", {{start.task, start.run, "", 50, 0}});
+  EXPECT_TRUE(Plan().starts.empty());
+  now_ += Millis{10};
+  Report("w", {}, {{1, start.task, start.run, EndKind::kStopped, ""}});
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
+// What runs on the worker is unknown.
+TEST_F(TakeoverTest, NothingStartsBeforeTheFirstReport) {
+  scheduler_.BeginTerm(2, now_ + Millis{6000});
+  WorkerEntry entry;
+  entry.id = "w3";
+  entry.service = "pool";
+  entry.capacity = {8000, 64'000, 0};
+  entry.started_at_ms = 1;
+  Worker worker;
+  worker.entry = entry;
+  scheduler_.LoadWorker("w3", EncodeWorkerRow(worker), now_);
+  scheduler_.UpsertWorker(entry, now_);
+  Submit("b", OneStep(Step(1, 8000)));
+  EXPECT_TRUE(Plan().starts.empty());
+  Report("w3", {});
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -26,6 +26,7 @@
   double partition = 0;     ///< Probability per second of a partition of 3 s.
   double takeover = 0;      ///< Probability per second of a takeover.
   double cancel = 0;        ///< Fraction of jobs cancelled within 2 s.
+  double resize = 0;        ///< Probability per second that a capacity changes.
 };
 
 /// State of an emulated worker.
@@ -47,6 +48,8 @@
   /// Run numbers up to this value are refused.
   std::map<TaskId, int> refused_up_to;
   Millis partitioned_until{0};
+  /// Larger capacities that it had lately, and until when they count.
+  std::vector<std::pair<Millis, Resources>> earlier_capacities;
 };
 
 class World {
@@ -210,7 +213,7 @@
     Resources used;
     for (const auto& [task, work] : worker.active) used += work.need;
     used += step.need;
-    if (!used.Fits(worker.entry.capacity)) {
+    if (!HasCapacity(worker, used)) {
       ReportViolation("capacity exceeded on " + worker.entry.id);
       return StartAnswer::kNoCapacity;
     }
@@ -224,6 +227,25 @@
     return StartAnswer::kStarted;
   }
 
+  // A capacity that has shrunk counts 4.5 s later.
+  bool HasCapacity(const EmulatedWorker& worker, const Resources& used) const {
+    return used.Fits(worker.entry.capacity) ||
+           std::any_of(worker.earlier_capacities.begin(),
+                       worker.earlier_capacities.end(), [&](const auto& it) {
+                         return now_ <= it.first && used.Fits(it.second);
+                       });
+  }
+
+  // The leader reads the new capacity up to a heartbeat later.
+  void Resize(EmulatedWorker& worker) {
+    worker.earlier_capacities.emplace_back(now_ + Millis{4500},
+                                           worker.entry.capacity);
+    worker.entry.capacity.cpu_milli = 2000 + Below(7) * 2000;
+    At(now_ + Millis{Below(1500)}, [this, id = worker.entry.id] {
+      scheduler_->UpsertWorker(workers_.at(id).entry, now_);
+    });
+  }
+
   void CheckStart(const StartOrder& order) {
     const std::string name = order.task.ToText();
     for (const auto& [id, other] : workers_) {
@@ -386,6 +408,7 @@
     for (auto& [id, worker] : workers_) {
       if (Chance(faults_.partition))
         worker.partitioned_until = now_ + Millis{3000};
+      if (Chance(faults_.resize)) Resize(worker);
       if (!Chance(faults_.crash)) continue;
       worker.active.clear();
       worker.ended.clear();
--- a/tests/jobs_world_test.cc
+++ b/tests/jobs_world_test.cc
@@ -83,6 +83,11 @@
         Scenario{"crashes", Make([](Faults& it) { it.crash = 0.05; })},
         Scenario{"partitions", Make([](Faults& it) { it.partition = 0.05; })},
         Scenario{"takeovers", Make([](Faults& it) { it.takeover = 0.2; })},
+        Scenario{"resizes_and_takeovers", Make([](Faults& it) {
+                   it.resize = 0.3;
+                   it.takeover = 0.2;
+                   it.lost_answer = 0.05;
+                 })},
         Scenario{"takeovers_and_partitions", Make([](Faults& it) {
                    it.takeover = 0.2;
                    it.partition = 0.05;
