Jobs of a removed queue go on under a leader that never knew it

A job that was accepted on a queue which the operator removed later is never started again once a node that started after the removal leads (LOST: nothing of it runs), and a single failed run makes it `failed` whatever the queue's attempts. Cause: a leader knows the queues of all configurations that it has read, not those removed before its start; the job's row held only the pool. Class: memory taken as the whole truth. Evidence: SchedulerTest.JobOfARemovedQueueGoesOnUnderALeaderThatNeverKnewIt failed before: no start instead of one. Change: the job's row holds the queue's configuration at acceptance, which is used when the queue isn't known. Rows without it are read as before, with one attempt. Measured: the test and RowsTest.JobRowKeepsTheConfigurationOfItsQueue pass, as do jobs_durability_test, jobs_scheduler_test, jobs_workers_test and jobs_crashes_test.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -106,14 +106,15 @@
 }
 
 bool Scheduler::IsAdoptionPending(const Job& job, Millis now) const {
-  const std::string& pool = PoolOf(job);
+  const std::string& pool = QueueOf(job).service;
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
     const Worker& worker = it.second;
     if (!worker.from_earlier_term || worker.adopted || worker.ended) {
       return false;
     }
     if (now > worker.lease_expires_by) return false;
-    return worker.entry.service == job.service || worker.entry.service == pool;
+    return worker.entry.service == job.accepted_queue.service ||
+           worker.entry.service == pool;
   });
 }
 
@@ -362,7 +363,7 @@
   std::vector<std::pair<Urgency, Job*>> order;
   order.reserve(pool.jobs.size());
   for (Job* it : pool.jobs) {
-    order.emplace_back(UrgencyOf(*it, *QueueOf(*it), settings_.order, now), it);
+    order.emplace_back(UrgencyOf(*it, QueueOf(*it), settings_.order, now), it);
   }
   // Break ties by id, so that simulations do not depend on memory addresses.
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
@@ -371,7 +372,7 @@
   });
   for (auto& [urgency, job] : order) {
     if (orders.starts.size() >= max_starts_) return;
-    PlanJob(*job, *QueueOf(*job), pool, orders, now, wall);
+    PlanJob(*job, QueueOf(*job), pool, orders, now, wall);
   }
 }
 
@@ -459,7 +460,7 @@
   if (max_starts == 0) return orders;
   std::map<std::string_view, Pool> pools;
   for (Job* it : active_jobs_) {
-    if (it->stored && QueueOf(*it)) pools[PoolOf(*it)].jobs.push_back(it);
+    if (it->stored) pools[QueueOf(*it).service].jobs.push_back(it);
   }
   for (auto& [id, worker] : workers_) {
     const bool usable =
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -109,8 +109,14 @@
 
 // Format: one line of JSON, then the unmodified request body of the client.
 std::string EncodeJobRow(const Job& job) {
+  const Queue& queue = job.accepted_queue;
   return json::serialize(json::object{{"queue", job.queue},
-                                      {"service", job.service},
+                                      {"service", queue.service},
+                                      {"priority", queue.priority},
+                                      {"attempts", queue.attempts},
+                                      {"stretch", queue.stretch},
+                                      {"target", queue.target.count},
+                                      {"tickets", queue.needs_tickets},
                                       {"accepted", job.accepted_wall.count}}) +
          "\n" + job.source;
 }
@@ -120,10 +126,20 @@
   if (line == std::string_view::npos) return std::nullopt;
   const auto head = ParseObject(text.substr(0, line));
   if (!head) return std::nullopt;
-  return JobRow{std::string(TextOrEmpty(*head, "queue")),
-                std::string(TextOrEmpty(*head, "service")),
-                {IntegerOrZero(*head, "accepted")},
-                std::string(text.substr(line + 1))};
+  JobRow row;
+  row.queue.name = TextOrEmpty(*head, "queue");
+  row.queue.service = TextOrEmpty(*head, "service");
+  row.queue.priority = static_cast<int>(IntegerOrZero(*head, "priority"));
+  row.queue.attempts =
+      std::max(1, static_cast<int>(IntegerOrZero(*head, "attempts")));
+  const json::value* stretch = head->if_contains("stretch");
+  if (stretch && stretch->is_double()) row.queue.stretch = stretch->as_double();
+  row.queue.target = {IntegerOrZero(*head, "target")};
+  const json::value* tickets = head->if_contains("tickets");
+  row.queue.needs_tickets = tickets && tickets->is_bool() && tickets->as_bool();
+  row.accepted = {IntegerOrZero(*head, "accepted")};
+  row.source = text.substr(line + 1);
+  return row;
 }
 
 std::string EncodeProgressRow(const Job& job) {
--- a/src/jobs/rows.h
+++ b/src/jobs/rows.h
@@ -26,8 +26,7 @@
 inline constexpr const char* kOrderKey = "recent";
 
 struct JobRow {
-  std::string queue;
-  std::string service;
+  Queue queue;
   WallMillis accepted{};
   std::string source;
 };
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -409,8 +409,7 @@
   if (step.long_running || HasEnded(job.state)) return;
   failed.push_back(end.run);
   unsaved_jobs_.insert(&job);
-  const Queue* queue = QueueOf(job);
-  const int attempts = queue ? queue->attempts : 1;
+  const int attempts = QueueOf(job).attempts;
   if (!task.done && static_cast<int>(failed.size()) >= attempts) {
     LogLine(LogLevel::kInfo, "job_failed")
         .With("job", job.id)
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -25,12 +25,10 @@
 // VMs are requested this long before they are needed: a move takes 1.5 s.
 constexpr Millis kForecastLeadTime{1600};
 
-// `queue` is null when it was removed from the configuration.
-void SetObjective(Job& job, const Queue* queue) {
-  const double stretch = queue ? queue->stretch : 1;
-  const double stretched = stretch * static_cast<double>(job.chain.count);
-  job.objective = job.accepted + Millis{static_cast<std::int64_t>(stretched)};
-  if (queue) job.objective += queue->target;
+void SetObjective(Job& job, const Queue& queue) {
+  const double stretched = queue.stretch * static_cast<double>(job.chain.count);
+  job.objective = job.accepted + queue.target +
+                  Millis{static_cast<std::int64_t>(stretched)};
 }
 
 // Write priority when the store is slow: first jobs whose clients wait for
@@ -110,14 +108,9 @@
   for (const Queue& it : config.queues) queues_[it.name] = it;
 }
 
-const Queue* Scheduler::QueueOf(const Job& job) const {
+const Queue& Scheduler::QueueOf(const Job& job) const {
   const auto it = queues_.find(job.queue);
-  return it == queues_.end() ? nullptr : &it->second;
-}
-
-const std::string& Scheduler::PoolOf(const Job& job) const {
-  const Queue* queue = QueueOf(job);
-  return queue ? queue->service : job.service;
+  return it == queues_.end() ? job.accepted_queue : it->second;
 }
 
 int Scheduler::NextRun(const Task& task) const {
@@ -155,10 +148,10 @@
                              std::string source, Millis now, WallMillis wall) {
   if (jobs_.contains(id)) return Submission::kKnown;
   Job& job = AddJob(std::move(id), queue.name, std::move(spec), now);
-  job.service = queue.service;
+  job.accepted_queue = queue;
   job.source = std::move(source);
   job.accepted_wall = wall;
-  SetObjective(job, &queue);
+  SetObjective(job, queue);
   unsaved_jobs_.insert(&job);
   double work = 0;
   for (const StepSpec& it : job.spec.steps) {
@@ -376,8 +369,8 @@
   if (!row) return false;
   auto spec = decode(row->source);
   if (!spec) return false;
-  Job& job = AddJob(std::string(key), row->queue, *std::move(spec), now);
-  job.service = row->service;
+  Job& job = AddJob(std::string(key), row->queue.name, *std::move(spec), now);
+  job.accepted_queue = std::move(row->queue);
   job.source = std::move(row->source);
   job.accepted_wall = row->accepted;
   job.accepted = now - (wall - row->accepted);
@@ -470,7 +463,7 @@
         static_cast<std::int64_t>(rate.Cores(now, kForecastLeadTime) * 1000);
   }
   for (const Job* job : active_jobs_) {
-    PoolDemand& demand = demands[PoolOf(*job)];
+    PoolDemand& demand = demands[QueueOf(*job).service];
     for (const Occurrence& occurrence : job->occurrences) {
       std::int64_t later = 0;
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -62,8 +62,8 @@
 
 struct Job {
   std::string id;
-  std::string queue;    ///< Name of the queue that accepted the job.
-  std::string service;  ///< Pool of the queue at acceptance.
+  std::string queue;     ///< Name of the queue that accepted the job.
+  Queue accepted_queue;  ///< Its configuration at acceptance, without route.
   JobSpec spec;
   std::string source;  ///< Request body of the client, for the store.
   WallMillis accepted_wall{};
@@ -393,8 +393,9 @@
   };
 
   Job& AddJob(std::string id, std::string queue, JobSpec spec, Millis now);
-  [[nodiscard]] const Queue* QueueOf(const Job& job) const;
-  [[nodiscard]] const std::string& PoolOf(const Job& job) const;
+  /// The newest known configuration of the job's queue, or that at acceptance
+  /// if the queue was removed before this process started.
+  [[nodiscard]] const Queue& QueueOf(const Job& job) const;
   void AddRun(Worker& worker, Job& job, const TaskId& task, int number,
               RunPhase phase, Millis now);
   /// Removes a run that is certainly no longer in progress.
--- a/tests/jobs_rows_test.cc
+++ b/tests/jobs_rows_test.cc
@@ -35,6 +35,29 @@
   }
 }
 
+TEST(RowsTest, JobRowKeepsTheConfigurationOfItsQueue) {
+  Job job;
+  job.queue = "queue";
+  Queue queue = testing::OneQueue(3, Millis{700}).queues[0];
+  queue.priority = 2;
+  queue.stretch = 1.5;
+  queue.needs_tickets = true;
+  job.accepted_queue = queue;
+  job.accepted_wall = {5};
+  job.source = "{}\n";
+  const auto row = DecodeJobRow(EncodeJobRow(job));
+  ASSERT_TRUE(row);
+  EXPECT_EQ(row->queue.name, queue.name);
+  EXPECT_EQ(row->queue.service, queue.service);
+  EXPECT_EQ(row->queue.priority, queue.priority);
+  EXPECT_EQ(row->queue.attempts, queue.attempts);
+  EXPECT_EQ(row->queue.stretch, queue.stretch);
+  EXPECT_EQ(row->queue.target, queue.target);
+  EXPECT_TRUE(row->queue.needs_tickets);
+  EXPECT_EQ(row->accepted, job.accepted_wall);
+  EXPECT_EQ(row->source, job.source);
+}
+
 RC_GTEST_PROP(RowsTest, DamagedProgressRowsDoNotThrow, ()) {
   Job job = JobWithProgress();
   Step& step = job.occurrences[0].steps[0];
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -477,5 +477,32 @@
   EXPECT_EQ(job->queue, "queue");
 }
 
+// A node that started after a queue was removed became leader: it never started
+// the queue's jobs, and one failed run would have failed them.
+TEST_F(SchedulerTest, JobOfARemovedQueueGoesOnUnderALeaderThatNeverKnewIt) {
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string row = EncodeJobRow(*scheduler_.FindJob("a"));
+  scheduler_ = Scheduler{SchedulerSettings{Millis{4000}}};
+  scheduler_.BeginTerm(1, {0});
+  Configuration without = config_;
+  without.queues.clear();
+  scheduler_.SetConfiguration(without);
+  ASSERT_TRUE(scheduler_.LoadJob(
+      "a", row, [](std::string_view) { return OneStep(Step(1, 1000)); }, now_,
+      kWall));
+  AddWorker("w1");
+  AddWorker("w2");
+  for (const JobState state : {JobState::kRunning, JobState::kFailed}) {
+    const Orders orders = Plan();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    Started(orders);
+    now_ += Millis{10};
+    const StartOrder& order = orders.starts[0];
+    Report(order.worker, {},
+           {{1, order.task, order.run, EndKind::kFailed, ""}});
+    EXPECT_EQ(scheduler_.FindJob("a")->state, state);
+  }
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
