An ended job is kept until its final state is committed

A completed or cancelled job could run again under the next leader (TWICE, UNASKED). Cause: a job that ended longer ago than the retention time (130 s) was forgotten, and the removal of its progress queued, while the transaction with its final state was still in flight. When that was refused, nothing removed the job's row any more. Needs a store that answers no transaction for 130 s. Class: rows removed without what replaces them. Evidence: DurabilityTest.JobIsKeptUntilItsFinalStateIsCommitted failed before. Change: a job is forgotten only once its final state is committed, which also excludes jobs that were never stored. Measured: the test passes, as do the other jobs tests.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -429,8 +429,8 @@
   last_expiry_ = now;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     Job& job = *it->second;
-    const bool old = HasEnded(job.state) && job.active_runs == 0 &&
-                     job.stored && !unsaved_jobs_.contains(&job) &&
+    const bool old = HasEnded(job.committed_state) && job.active_runs == 0 &&
+                     !unsaved_jobs_.contains(&job) &&
                      now - job.over_since > settings_.retention;
     if (!old) {
       ++it;
--- a/tests/jobs_durability_test.cc
+++ b/tests/jobs_durability_test.cc
@@ -398,6 +398,29 @@
   EXPECT_EQ(batch.workers, std::vector<std::string>{"worker"});
 }
 
+// The job was forgotten while its final state was in flight: once that was
+// refused, its row stayed, and the next leader ran it again.
+TEST(DurabilityTest, JobIsKeptUntilItsFinalStateIsCommitted) {
+  const SchedulerSettings settings{kLease};
+  Scheduler scheduler{settings};
+  scheduler.BeginTerm(0, {0});
+  const Configuration config = OneQueue(kAttempts, Millis{500});
+  scheduler.Submit(config.queues[0], "job", OneStep(Step(2, 100)), "source",
+                   Millis{1000}, {});
+  scheduler.OnCommitted(scheduler.TakeBatch());
+  scheduler.Cancel("job", Millis{2000});
+  const Batch sent = scheduler.TakeBatch();
+  scheduler.Plan(Millis{3000} + settings.retention, {}, false);
+  scheduler.OnCommitFailed(sent);
+  ASSERT_NE(scheduler.FindJob("job"), nullptr);
+  const Batch again = scheduler.TakeBatch();
+  ASSERT_EQ(again.rows.size(), 2U);
+  EXPECT_EQ(again.rows[0].table, kJobTable);
+  EXPECT_TRUE(again.rows[0].remove);
+  EXPECT_EQ(again.rows[1].table, kProgressTable);
+  EXPECT_FALSE(again.rows[1].remove);
+}
+
 rc::Gen<std::vector<Action>> Actions() {
   const auto kind = rc::gen::weightedElement<Kind>({{6, Kind::kSubmit},
                                                     {3, Kind::kCancel},
