A job counts as pending until a worker has confirmed a start

Cause: a job counted as running once a start was planned. It stayed so when the worker refused the start, and when a gang found no room for all of its tasks, which happens with every plan while it waits. Class: memory taken as the whole truth. Evidence: SchedulerTest.JobIsPendingUntilAStartOfItIsConfirmed failed before: 0 pending jobs instead of 1, 2, 2 and 1. Change: a job runs from the answer to its first start, or from the first report that lists a run of it, at work or ended. Measured: the test and SchedulerTest.JobIsRunningOnceAStartOfItIsConfirmed pass, as do the other jobs tests.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -275,7 +275,6 @@
   }
   AddRun(*worker, job, id, number, RunPhase::kSent, now);
   RecordLease(*worker, now);
-  if (job.state == JobState::kPending) job.state = JobState::kRunning;
   orders.starts.push_back(std::move(order));
   return true;
 }
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -51,6 +51,11 @@
          id.index < job.spec.steps[id.step].task_count;
 }
 
+// A worker has confirmed that a task of the job started.
+void MarkStarted(Job& job) {
+  if (job.state == JobState::kPending) job.state = JobState::kRunning;
+}
+
 std::string_view ToText(EndKind kind) {
   switch (kind) {
     case EndKind::kDone:
@@ -235,6 +240,7 @@
   if (answer == StartAnswer::kStarted) {
     run.phase = RunPhase::kRunning;
     run.settled_from = run.progress_at = now;
+    MarkStarted(*run.job);
     return;
   }
   if (answer == StartAnswer::kUnknown) {
@@ -349,9 +355,9 @@
     if (HasEnded(job->state) || task.done || task.active_runs > 1) {
       it->second.stop_wanted = worker.stops_wanted = true;
     }
-    if (!HasEnded(job->state)) job->state = JobState::kRunning;
   }
   Run& run = it->second;
+  MarkStarted(*run.job);
   if (active.run < run.number) return;
   if (active.run > run.number) run.number = active.run;
   if (run.phase == RunPhase::kSent || run.phase == RunPhase::kUnsettled) {
@@ -388,6 +394,7 @@
   Task& task = TaskOf(job, end.task);
   task.last_run = std::max(task.last_run, end.run);
   task.started = true;
+  MarkStarted(job);
   RecordSurvival(job, task, end.run);
   if (!end.checkpoint.empty()) task.checkpoint = end.checkpoint;
   LogLine(LogLevel::kInfo, "run_ended")
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -504,5 +504,44 @@
   }
 }
 
+// Jobs whose starts were refused, or whose gang had no room, were missing from
+// the number of pending jobs.
+TEST_F(SchedulerTest, JobIsPendingUntilAStartOfItIsConfirmed) {
+  AddWorker("w", 4000);
+  StepSpec gang = Step(2, 3000);
+  gang.gang = true;
+  Submit("gang", OneStep(gang));
+  EXPECT_TRUE(Plan().starts.empty());
+  EXPECT_EQ(scheduler_.Pending("queue"), 1U);
+  Submit("task", OneStep(Step(1, 1000)));
+  Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  scheduler_.OnStart(orders.starts[0], StartAnswer::kNoCapacity, now_);
+  EXPECT_EQ(scheduler_.Pending("queue"), 2U);
+  orders = Plan(Millis{500});
+  ASSERT_EQ(orders.starts.size(), 1U);
+  scheduler_.OnStart(orders.starts[0], StartAnswer::kUnknown, now_);
+  EXPECT_EQ(scheduler_.Pending("queue"), 2U);
+  now_ += Millis{10};
+  Report("w", {{orders.starts[0].task, orders.starts[0].run, "", 5, 0}});
+  EXPECT_EQ(scheduler_.Pending("queue"), 1U);
+  EXPECT_EQ(scheduler_.FindJob("task")->state, JobState::kRunning);
+}
+
+TEST_F(SchedulerTest, JobIsRunningOnceAStartOfItIsConfirmed) {
+  AddWorker("w");
+  Submit("answered", OneStep(Step(1, 1000)));
+  Started(Plan());
+  EXPECT_EQ(scheduler_.FindJob("answered")->state, JobState::kRunning);
+  Submit("ended", OneStep(Step(2, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 2U);
+  now_ += Millis{10};
+  Report(
+      "w", {},
+      {{1, orders.starts[0].task, orders.starts[0].run, EndKind::kDone, ""}});
+  EXPECT_EQ(scheduler_.FindJob("ended")->state, JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
