A worker that restarts under its id after it was ended is used again

A machine whose worker keeps its id over a move, an upkeep or a restart that a listing showed first gets no work until its registration has been missing for a second; jobs that only it has room for wait. Cause: the leader keeps an ended worker under its id until its registration is gone, and took the registration of the new incarnation for that of the ended one. Class: memory taken as the whole truth while it is outdated. Evidence: SchedulerTest.WorkerThatRestartsUnderItsIdAfterItEndedIsUsed failed before: no start instead of one. Change: a registration of a later incarnation replaces an ended worker. One that isn't known to be later, such as the last write of the ended one, doesn't. Measured: the test passes, as do the other jobs tests.

--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -20,6 +20,11 @@
 }  // namespace
 
 void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
+  if (const Worker* known = FindWorker(entry.id); known && known->ended) {
+    const std::int64_t last =
+        std::max(known->started_at_ms, known->entry.started_at_ms);
+    if (last > 0 && entry.started_at_ms > last) workers_.erase(entry.id);
+  }
   const auto [it, fresh] = workers_.try_emplace(entry.id);
   Worker& worker = it->second;
   if (fresh) worker.idle_since = worker.known_since = now;
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -105,6 +105,28 @@
   EXPECT_EQ(next.rows[0].key, "w");
 }
 
+// The new incarnation was registered before the registration of the ended one
+// was removed: it was never used.
+TEST_F(SchedulerTest, WorkerThatRestartsUnderItsIdAfterItEndedIsUsed) {
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 1000)));
+  WorkerEntry entry = scheduler_.FindWorker("w")->entry;
+  scheduler_.FindWorker("w")->reserved = true;
+  scheduler_.EndWorker("w", WorkerLoss::kPlanned, now_);
+  // The registration of the ended incarnation may be written once more.
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_TRUE(scheduler_.FindWorker("w")->ended);
+  entry.started_at_ms = 2;
+  scheduler_.UpsertWorker(entry, now_);
+  WorkerReport report;
+  report.clock_ms = 20;
+  report.started_at_ms = 2;
+  now_ += Millis{10};
+  scheduler_.OnReport("w", report, now_, now_);
+  Commit();
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 // A new leader that knows a worker of the previous term only from its row.
 class TakeoverTest : public SchedulerTest {
  protected:
