No job is given up for workers that only were out of reach

What callers would see: a sound job shown as `failed` though no worker crashed (LOST): four runs on workers that were cut off, moved or restarted as planned were enough. Cause: CrashHistory counted losses of every kind alike, and a run announced before a takeover too; the later proof that a worker crashed, or came back, had no way into the history. Evidence: failed before: CrashTest.JobIsNotGivenUpForWorkersThatAreOutOfReach (job `failed` after four lapsed leases), CrashSeenAfterATakeoverCounts, LaterCrashOfAWorkerThatCameBackIsNotTheRunsFault, MoveOrderedByAnEarlierLeaderIsNoCrash, RestartOfADrainedWorkerUnderItsIdIsNoCrash (each counted as a loss or a crash). A task is given up only with two known crashes. A loss out of reach becomes a crash when another worker runs on the VM though nobody ordered it away, also under the next leader, as an announced run names its worker; it stops being a loss when the worker reports in the same incarnation.

--- a/src/jobs/crash_history.cc
+++ b/src/jobs/crash_history.cc
@@ -1,6 +1,7 @@
 #include "jobs/crash_history.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hemlockward::jobs {
 
@@ -9,29 +10,43 @@
 constexpr std::size_t kLossesToRunAlone = 2;
 /// Losses after which a task is given up if the last one has no other cause.
 constexpr std::size_t kLossesToGiveUp = 3;
-/// Losses after which it is given up in any case: each one costs a worker.
+/// Losses after which it is given up whatever ran beside it: each one costs a
+/// worker.
 constexpr std::size_t kMaxLosses = 4;
+/// Known crashes without which no task is given up.
+constexpr int kCrashesToGiveUp = 2;
 
 }  // namespace
 
-bool CrashHistory::Add(int run) {
-  if (std::find(lost_runs.begin(), lost_runs.end(), run) != lost_runs.end()) {
-    return false;
-  }
-  lost_runs.push_back(run);
-  announced_run = 0;
+bool CrashHistory::Add(LostRun lost) {
+  if (lost.run == announced_run) announced_run = 0;
+  const auto it = std::find_if(
+      lost_runs.begin(), lost_runs.end(),
+      [&lost](const LostRun& other) { return other.run == lost.run; });
+  if (it != lost_runs.end()) return lost.crashed && Confirm(lost.run);
+  lost_runs.push_back(std::move(lost));
   return true;
 }
 
+bool CrashHistory::Confirm(int run) {
+  for (LostRun& it : lost_runs) {
+    if (it.run == run) return !std::exchange(it.crashed, true);
+  }
+  return false;
+}
+
 bool CrashHistory::Remove(int run) {
   const bool announced = run == announced_run && run != 0;
   if (announced) announced_run = 0;
-  return std::erase(lost_runs, run) > 0 || announced;
+  const auto is_run = [run](const LostRun& it) { return it.run == run; };
+  return std::erase_if(lost_runs, is_run) > 0 || announced;
 }
 
-std::vector<int> CrashHistory::RunsToStore() const {
-  std::vector<int> runs = lost_runs;
-  if (announced_run != 0) runs.push_back(announced_run);
+std::vector<LostRun> CrashHistory::RunsToStore() const {
+  std::vector<LostRun> runs = lost_runs;
+  if (announced_run != 0) {
+    runs.push_back({announced_run, announced_worker, false});
+  }
   return runs;
 }
 
@@ -41,10 +56,19 @@
                                               : Suspicion::kRunAlone;
 }
 
-bool CrashHistory::ShouldGiveUp(WorkerLoss loss, bool alone) const {
-  if (lost_runs.size() >= kMaxLosses) return true;
-  return lost_runs.size() >= kLossesToGiveUp && alone &&
-         loss == WorkerLoss::kCrashed;
+int CrashHistory::crashed_workers() const {
+  return static_cast<int>(
+      std::count_if(lost_runs.begin(), lost_runs.end(),
+                    [](const LostRun& it) { return it.crashed; }));
+}
+
+bool CrashHistory::ShouldGiveUp(bool alone) const {
+  if (crashed_workers() < kCrashesToGiveUp) return false;
+  return lost_runs.size() >= (alone ? kLossesToGiveUp : kMaxLosses);
+}
+
+bool CrashHistory::AwaitsEvidence() const {
+  return lost_runs.size() >= kMaxLosses;
 }
 
 }  // namespace hemlockward::jobs
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -24,6 +24,8 @@
 // A task that must run alone waits this long for a worker without any runs.
 // Then it shares one with long-running tasks, which a crash would interrupt.
 constexpr Millis kEmptyWorkerWait = base::Seconds(2);
+// A crashed worker is back within this time after its lease has run out.
+constexpr Millis kEvidenceWait = base::Seconds(10);
 // Fractions of the tail latency target at which filling tasks are slowed down
 // or sped up.
 constexpr double kTailHigh = 0.85;
@@ -99,6 +101,14 @@
 
 }  // namespace
 
+bool Scheduler::MayStart(const Job& job, const Task& task, Millis now) {
+  if (task.active_runs > 0 || task.possibly_running) return false;
+  if (task.crashes.AwaitsEvidence() && now - task.idle_since < kEvidenceWait) {
+    return false;
+  }
+  return IsHistoryStored(job, task);
+}
+
 bool HostsLongRunningTask(const Worker& worker) {
   return std::any_of(
       worker.runs.begin(), worker.runs.end(),
@@ -212,6 +222,11 @@
   const bool needs_name = queue.needs_tickets || step.max_per_worker > 0;
   const std::string name = needs_name ? id.StepName() : std::string();
   const Suspicion suspicion = task.crashes.suspicion();
+  // Another leader may have to learn what became of this worker.
+  const std::string* announced_on =
+      suspicion != Suspicion::kNone && task.crashes.announced_run != 0
+          ? &task.crashes.announced_worker
+          : nullptr;
   const bool restricted = needs_name || !step.required_label.empty() ||
                           suspicion == Suspicion::kRunAlone;
   for (const bool avoid : {true, false}) {
@@ -235,6 +250,7 @@
       if (suspicion == Suspicion::kSuspect && it->suspect_runs > 0) {
         score += 4 * kScorePenalty;
       }
+      if (announced_on && *announced_on == it->entry.id) return it;
       if (step.long_running) {
         if (it->awaits_upkeep) score += kScorePenalty;
         // A long-running task prevents its VM from being moved to another pool,
@@ -257,11 +273,18 @@
   Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
   if (!worker) return false;
   Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
-  if (!task.crashes.empty() && task.crashes.announced_run != number) {
-    task.crashes.announced_run = number;
-    ++job.crash_changes;
-    unsaved_jobs_.insert(&job);
-    return false;
+  if (!task.crashes.empty()) {
+    CrashHistory& crashes = task.crashes;
+    if (crashes.announced_worker != worker->entry.id) {
+      crashes.announced_worker = worker->entry.id;
+      unsaved_jobs_.insert(&job);
+    }
+    if (crashes.announced_run != number) {
+      crashes.announced_run = number;
+      ++job.crash_changes;
+      unsaved_jobs_.insert(&job);
+      return false;
+    }
   }
   StartOrder order;
   order.worker = worker->entry.id;
@@ -286,8 +309,7 @@
   int number = 0;
   std::string checkpoint;
   for (const Task& it : state.tasks) {
-    if (it.active_runs > 0 || it.possibly_running) return false;
-    if (!IsHistoryStored(job, it)) return false;
+    if (!MayStart(job, it, now)) return false;
     number = std::max(number, NextRun(it));
     if (!it.checkpoint.empty()) checkpoint = it.checkpoint;
   }
@@ -332,10 +354,7 @@
       for (int i = 0; i < spec.task_count; ++i) {
         if (orders.starts.size() >= max_starts_) return false;
         Task& task = step.tasks[i];
-        if (task.done || task.active_runs > 0 || task.possibly_running ||
-            !IsHistoryStored(job, task)) {
-          continue;
-        }
+        if (task.done || !MayStart(job, task, now)) continue;
         const TaskId id{job.id, k, s, i};
         if (StartTask(job, queue, id, NextRun(task), pool, orders, now)) {
           continue;
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -70,10 +70,31 @@
   return true;
 }
 
-// Reads a row [occurrence, step, index, [run...]] and adds the runs to the
-// list of the task that `runs_of` returns.
+bool AddFailedRun(const json::value& value, Task& task) {
+  boost::system::error_code ec;
+  const int run = value.to_number<int>(ec);
+  if (ec) return false;
+  task.failed_runs.push_back(run);
+  return true;
+}
+
+// Reads a row [run, worker, crashed].
+bool AddLostRun(const json::value& value, Task& task) {
+  const json::array* row = value.if_array();
+  if (!row || row->size() != 3) return false;
+  if (!(*row)[1].is_string() || !(*row)[2].is_bool()) return false;
+  boost::system::error_code ec;
+  const int run = (*row)[0].to_number<int>(ec);
+  if (ec) return false;
+  task.crashes.Add(
+      {run, std::string((*row)[1].get_string()), (*row)[2].get_bool()});
+  return true;
+}
+
+// Reads a row [occurrence, step, index, [run...]] and passes each run to `add`
+// with its task.
 bool ApplyRuns(const json::value& value, Job& job,
-               std::vector<int>& (*runs_of)(Task&)) {
+               bool (*add)(const json::value&, Task&)) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 4 || !(*row)[3].is_array()) return false;
   const auto occurrence = Position((*row)[0], job.occurrences.size());
@@ -84,18 +105,12 @@
   auto& tasks = steps[*step].tasks;
   const auto index = Position((*row)[2], tasks.size());
   if (!index) return false;
-  for (const json::value& it : (*row)[3].get_array()) {
-    boost::system::error_code ec;
-    const int run = it.to_number<int>(ec);
-    if (ec) return false;
-    runs_of(tasks[*index]).push_back(run);
-  }
-  return true;
+  const json::array& runs = (*row)[3].get_array();
+  return std::all_of(runs.begin(), runs.end(), [&](const json::value& it) {
+    return add(it, tasks[*index]);
+  });
 }
 
-std::vector<int>& FailedRuns(Task& task) { return task.failed_runs; }
-std::vector<int>& LostRuns(Task& task) { return task.crashes.lost_runs; }
-
 // Applies each entry of the list `name`, which may be missing.
 template <class Apply>
 bool ApplyEach(const json::object& row, std::string_view name, Apply apply) {
@@ -159,13 +174,18 @@
         const Task& task = step.tasks[i];
         marks += task.done ? '1' : '0';
         if (task.done) continue;
-        const auto add = [&](json::array& rows, const std::vector<int>& runs) {
-          if (runs.empty()) return;
-          rows.push_back(
-              json::array{k, s, i, json::array(runs.begin(), runs.end())});
+        const auto add = [&](json::array& rows, json::array runs) {
+          if (!runs.empty()) {
+            rows.push_back(json::array{k, s, i, std::move(runs)});
+          }
         };
-        add(failed, task.failed_runs);
-        add(lost, task.crashes.RunsToStore());
+        add(failed,
+            json::array(task.failed_runs.begin(), task.failed_runs.end()));
+        json::array lost_runs;
+        for (const LostRun& it : task.crashes.RunsToStore()) {
+          lost_runs.push_back(json::array{it.run, it.worker, it.crashed});
+        }
+        add(lost, std::move(lost_runs));
       }
       if (step.done > 0) done.push_back(json::array{k, s, marks});
     }
@@ -188,10 +208,10 @@
   }
   const auto done = [&job](const auto& it) { return ApplyDone(it, job); };
   const auto failed = [&job](const auto& it) {
-    return ApplyRuns(it, job, FailedRuns);
+    return ApplyRuns(it, job, AddFailedRun);
   };
   const auto lost = [&job](const auto& it) {
-    return ApplyRuns(it, job, LostRuns);
+    return ApplyRuns(it, job, AddLostRun);
   };
   return ApplyEach(*row, "done", done) && ApplyEach(*row, "failed", failed) &&
          ApplyEach(*row, "lost", lost);
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -175,32 +175,85 @@
   }
   while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
   if (loss == WorkerLoss::kPlanned || worker.entry.draining) return;
-  for (const auto& [run, alone] : lost) RecordLoss(run, loss, alone, now);
+  for (const auto& [run, alone] : lost) {
+    RecordLoss(worker.entry.id, run, loss, alone, now);
+  }
 }
 
-void Scheduler::RecordLoss(const Run& run, WorkerLoss loss, bool alone,
-                           Millis now) {
+void Scheduler::RecordLoss(const std::string& worker, const Run& run,
+                           WorkerLoss loss, bool alone, Millis now) {
   Job& job = *run.job;
   Task& task = TaskOf(job, run.task);
   if (HasEnded(job.state) || task.done) return;
-  if (!task.crashes.Add(run.number)) return;
+  const bool crashed = loss == WorkerLoss::kCrashed;
+  if (!task.crashes.Add({run.number, worker, crashed})) return;
   ++job.crash_changes;
   unsaved_jobs_.insert(&job);
-  const std::size_t losses = task.crashes.lost_runs.size();
+  if (!crashed) {
+    unexplained_losses_.emplace(
+        worker, UnexplainedLoss{run.task, run.number, alone, now});
+  }
   LogLine(LogLevel::kInfo, "run_lost")
       .With("task", run.task.ToText())
       .With("run", run.number)
-      .With("losses", losses)
-      .With("how", loss == WorkerLoss::kCrashed ? "crash" : "out_of_reach")
+      .With("losses", task.crashes.lost_runs.size())
+      .With("how", crashed ? "crash" : "out_of_reach")
       .With("alone", alone);
-  if (!task.crashes.ShouldGiveUp(loss, alone)) return;
+  GiveUpIfDeadly(job, run.task, alone && crashed, now);
+}
+
+void Scheduler::GiveUpIfDeadly(Job& job, const TaskId& id, bool alone,
+                               Millis now) {
+  const CrashHistory& crashes = TaskOf(job, id).crashes;
+  if (!crashes.ShouldGiveUp(alone)) return;
   LogLine(LogLevel::kWarning, "job_failed")
       .With("job", job.id)
-      .With("task", run.task.ToText())
-      .With("crashed_workers", losses);
+      .With("task", id.ToText())
+      .With("losses", crashes.lost_runs.size())
+      .With("crashed_workers", crashes.crashed_workers());
   FailJob(job, now);
 }
 
+void Scheduler::ConfirmCrash(std::string_view worker, Millis now) {
+  const auto [first, last] = unexplained_losses_.equal_range(worker);
+  for (auto it = first; it != last; ++it) {
+    const UnexplainedLoss& loss = it->second;
+    const auto found = jobs_.find(loss.task.job);
+    if (found == jobs_.end()) continue;
+    Job& job = *found->second;
+    if (HasEnded(job.state) || !HasTask(job, loss.task)) continue;
+    Task& task = TaskOf(job, loss.task);
+    if (task.done || !task.crashes.Confirm(loss.run)) continue;
+    ++job.crash_changes;
+    unsaved_jobs_.insert(&job);
+    LogLine(LogLevel::kInfo, "loss_was_crash")
+        .With("task", loss.task.ToText())
+        .With("run", loss.run)
+        .With("worker", worker);
+    GiveUpIfDeadly(job, loss.task, loss.alone, now);
+  }
+  unexplained_losses_.erase(first, last);
+}
+
+void Scheduler::RecordReturn(const Worker& worker, bool same_incarnation,
+                             Millis sent) {
+  const auto [first, last] = unexplained_losses_.equal_range(worker.entry.id);
+  for (auto it = first; it != last;) {
+    const UnexplainedLoss& loss = it->second;
+    if (loss.at >= sent) {
+      ++it;
+      continue;
+    }
+    const auto found = jobs_.find(loss.task.job);
+    if (same_incarnation && found != jobs_.end() &&
+        HasTask(*found->second, loss.task)) {
+      Job& job = *found->second;
+      RecordSurvival(job, TaskOf(job, loss.task), loss.run);
+    }
+    it = unexplained_losses_.erase(it);
+  }
+}
+
 void Scheduler::RecordSurvival(Job& job, Task& task, int run) {
   if (!task.crashes.Remove(run)) return;
   ++job.crash_changes;
@@ -213,12 +266,14 @@
       .With("worker", worker.entry.id)
       .With("runs", worker.runs.size())
       .With("born", started_at_ms);
+  const bool planned = worker.entry.draining || worker.reserved;
+  if (!planned) ConfirmCrash(worker.entry.id, now);
   worker.started_at_ms = started_at_ms;
   worker.reported_end_number = worker.committed_end_number =
       worker.confirmed_end_number = 0;
   if (worker.runs.empty()) return;
   for (auto& [id, run] : worker.runs) {
-    run.worker_restarted = true;
+    run.worker_crashed = !planned;
     run.was_alone = IsAlone(worker, &run);
   }
   // Starts sent since the restart carry a lease by the clock of the previous
@@ -303,6 +358,7 @@
     if (report.started_at_ms < worker->started_at_ms) return;
     BeginIncarnation(*worker, report.started_at_ms, now);
   }
+  RecordReturn(*worker, worker->started_at_ms > 0, sent);
   if (report.started_at_ms > 0) worker->started_at_ms = report.started_at_ms;
   worker->clock_ms = report.clock_ms;
   worker->clock_at = now;
@@ -324,8 +380,9 @@
     if (settled && !active.contains(it->first)) {
       const Run ended = run;
       EndRun(*worker, it, now);
-      if (ended.worker_restarted) {
-        RecordLoss(ended, WorkerLoss::kCrashed, ended.was_alone, now);
+      if (ended.worker_crashed) {
+        RecordLoss(worker->entry.id, ended, WorkerLoss::kCrashed,
+                   ended.was_alone, now);
       }
     }
     it = next;
@@ -364,7 +421,7 @@
     run.phase = RunPhase::kRunning;
     run.settled_from = sent;
   }
-  run.worker_restarted = false;
+  run.worker_crashed = false;
   Task& task = TaskOf(*run.job, run.task);
   task.last_run = std::max(task.last_run, active.run);
   RecordSurvival(*run.job, task, active.run);
@@ -374,8 +431,8 @@
   run.load = active.load;
   const bool at_work = run.job->long_running && run.percent >= kFullPercent;
   if (at_work && !task.crashes.empty()) {
-    for (const int it : std::vector<int>(task.crashes.lost_runs)) {
-      RecordSurvival(*run.job, task, it);
+    for (const LostRun& it : std::vector<LostRun>(task.crashes.lost_runs)) {
+      RecordSurvival(*run.job, task, it.run);
     }
     SetSuspicion(worker, run, Suspicion::kNone);
   }
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -21,6 +21,8 @@
 // A long-running task that waits longer requests one more VM.
 constexpr Millis kStuckAfter{500};
 constexpr Millis kExpiryInterval = base::Seconds(1);
+// How long a lost worker's successor may take to show that it crashed.
+constexpr Millis kExplanationWait = base::Seconds(30);
 
 // VMs are requested this long before they are needed: a move takes 1.5 s.
 constexpr Millis kForecastLeadTime{1600};
@@ -39,6 +41,22 @@
   return HasEnded(job.state) ? 1 : 2;
 }
 
+std::vector<std::pair<TaskId, LostRun>> LostRuns(const Job& job) {
+  std::vector<std::pair<TaskId, LostRun>> runs;
+  for (int k = 0; k < static_cast<int>(job.occurrences.size()); ++k) {
+    const auto& steps = job.occurrences[k].steps;
+    for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
+      const auto& tasks = steps[s].tasks;
+      for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+        for (const LostRun& it : tasks[i].crashes.lost_runs) {
+          runs.emplace_back(TaskId{job.id, k, s, i}, it);
+        }
+      }
+    }
+  }
+  return runs;
+}
+
 }  // namespace
 
 void UpdateRemaining(Job& job) {
@@ -97,6 +115,7 @@
   unsaved_jobs_.clear();
   rows_.clear();
   workers_.clear();
+  unexplained_losses_.clear();
   tickets_.clear();
   jobs_.clear();
   arrivals_.clear();
@@ -397,6 +416,11 @@
   }
   Job& job = *it->second;
   if (!DecodeProgressRow(value, job)) return false;
+  for (const auto& [task, lost] : LostRuns(job)) {
+    if (lost.crashed || lost.worker.empty()) continue;
+    unexplained_losses_.emplace(lost.worker,
+                                UnexplainedLoss{task, lost.run, false, now});
+  }
   UpdateRemaining(job);
   job.committed_state = job.state;
   if (HasEnded(job.state)) {
@@ -441,13 +465,17 @@
   }
   for (auto it = workers_.begin(); it != workers_.end();) {
     Worker& worker = it->second;
-    const bool gone = !worker.listed && worker.runs.empty() &&
+    // Its VM may show later that it crashed.
+    const bool unexplained = unexplained_losses_.contains(it->first) &&
+                             now - worker.lease_expires_by < kExplanationWait;
+    const bool gone = !worker.listed && worker.runs.empty() && !unexplained &&
                       (worker.ended || now > worker.lease_expires_by);
     if (!gone) {
       ++it;
       continue;
     }
     if (worker.stored) rows_.push_back({kWorkerTable, it->first, "", true});
+    unexplained_losses_.erase(it->first);
     it = workers_.erase(it);
   }
 }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -117,9 +117,10 @@
   Millis progress_at{0};
   /// Of its task when it began; determines what may run beside it.
   Suspicion suspicion = Suspicion::kNone;
-  /// Its worker has restarted. The run was lost unless a later report lists it.
-  bool worker_restarted = false;
-  bool was_alone = false;  ///< With `worker_restarted`: on the lost worker.
+  /// Its worker has restarted though it wasn't about to leave. The run was lost
+  /// unless a later report lists it.
+  bool worker_crashed = false;
+  bool was_alone = false;  ///< With `worker_crashed`: on the lost worker.
   std::int64_t load = 0;
   Millis pace_changed_at{-1};
   int pace = 100;
@@ -383,6 +384,13 @@
     bool asked = false;
     bool allowed = false;
   };
+  /// A run on a worker that was lost without a known cause.
+  struct UnexplainedLoss {
+    TaskId task;
+    int run = 0;
+    bool alone = false;
+    Millis at{0};
+  };
   /// Jobs of one pool and its usable workers, in one plan.
   struct Pool {
     std::vector<Job*> jobs;
@@ -403,7 +411,13 @@
   /// Ends all runs of a worker that runs them no longer.
   void LoseRuns(Worker& worker, WorkerLoss loss, Millis now);
   /// Adds a lost run to the crash history of its task, which may be given up.
-  void RecordLoss(const Run& run, WorkerLoss loss, bool alone, Millis now);
+  void RecordLoss(const std::string& worker, const Run& run, WorkerLoss loss,
+                  bool alone, Millis now);
+  /// The worker, which was out of reach, has crashed.
+  void ConfirmCrash(std::string_view worker, Millis now);
+  /// The worker, which was out of reach, answers a report requested at `sent`.
+  void RecordReturn(const Worker& worker, bool same_incarnation, Millis sent);
+  void GiveUpIfDeadly(Job& job, const TaskId& task, bool alone, Millis now);
   /// The task has run without harm to its worker.
   void RecordSurvival(Job& job, Task& task, int run);
   void SetSuspicion(Worker& worker, Run& run, Suspicion suspicion);
@@ -427,6 +441,8 @@
                 Pool& pool, Orders& orders, Millis now);
   bool StartTask(Job& job, const Queue& queue, const TaskId& id, int number,
                  Pool& pool, Orders& orders, Millis now);
+  [[nodiscard]] static bool MayStart(const Job& job, const Task& task,
+                                     Millis now);
   [[nodiscard]] bool IsStepReady(const Job& job, int occurrence, int step,
                                  WallMillis wall) const;
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
@@ -436,8 +452,10 @@
                              Millis now) const;
   /// Ends silent workers whose VM has registered the later worker `entry`.
   void EndPredecessors(const WorkerEntry& entry, Millis now);
-  /// `by`: the worker that runs on its VM now; may be empty.
-  void EndReplacedWorker(Worker& worker, std::string_view by, Millis now);
+  /// `by`: the worker that runs on its VM now; may be empty. `ordered`: its VM
+  /// was ordered away.
+  void EndReplacedWorker(Worker& worker, std::string_view by, bool ordered,
+                         Millis now);
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
                                        const std::string& worker) const;
@@ -468,6 +486,8 @@
   std::uint64_t rows_written_ = 0;
   std::uint64_t rows_committed_ = 0;
   std::map<std::string, Worker, std::less<>> workers_;
+  /// By worker id.
+  std::multimap<std::string, UnexplainedLoss, std::less<>> unexplained_losses_;
   /// By step name, then worker id.
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -69,20 +69,22 @@
         started_at_ms == 0 || started_at_ms >= entry.started_at_ms) {
       continue;
     }
-    EndReplacedWorker(worker, entry.id, now);
+    const bool moved = worker.entry.service != entry.service;
+    EndReplacedWorker(worker, entry.id, moved, now);
   }
 }
 
 void Scheduler::EndReplacedWorker(Worker& worker, std::string_view by,
-                                  Millis now) {
+                                  bool ordered, Millis now) {
   LogLine(LogLevel::kInfo, "worker_replaced")
       .With("worker", worker.entry.id)
       .With("machine", worker.entry.vm)
       .With("by", by)
       .With("runs", worker.runs.size());
   // A worker is reserved before the leader orders its VM away.
+  const bool planned = ordered || worker.reserved;
   EndWorker(worker.entry.id,
-            worker.reserved ? WorkerLoss::kPlanned : WorkerLoss::kCrashed, now);
+            planned ? WorkerLoss::kPlanned : WorkerLoss::kCrashed, now);
 }
 
 void Scheduler::RemoveWorker(std::string_view id) {
@@ -94,6 +96,10 @@
   Worker* worker = FindWorker(id);
   if (!worker || worker->ended) return;
   LoseRuns(*worker, loss, now);
+  if (loss == WorkerLoss::kCrashed && !worker->entry.draining) {
+    ConfirmCrash(id, now);
+  }
+  unexplained_losses_.erase(std::string(id));
   worker->ended = true;
   if (worker->stored)
     rows_.push_back({kWorkerTable, worker->entry.id, "", true});
@@ -120,7 +126,13 @@
     if (answers || worker.ended || worker.known_since >= sent) continue;
     const auto it = by_name.find(worker.entry.vm);
     if (it == by_name.end() || !HasReplacedWorker(*it->second, id)) continue;
-    EndReplacedWorker(worker, it->second->worker, now);
+    const Vm& vm = *it->second;
+    // These states and another pool are due to an order, which may be that of
+    // an earlier leader.
+    const bool ordered = vm.state == VmState::kMoving ||
+                         vm.state == VmState::kUpkeep ||
+                         (!vm.pool.empty() && vm.pool != worker.entry.service);
+    EndReplacedWorker(worker, vm.worker, ordered, now);
   }
 }
 
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,34 @@
     return orders;
   }
 
+  // Plans and commits until the first start.
+  StartOrder StartWithin(Millis wait) {
+    for (const Millis end = now_ + wait; now_ < end; now_ += Millis{200}) {
+      const Orders orders = Plan();
+      Started(orders);
+      if (!orders.starts.empty()) return orders.starts[0];
+      Commit();
+    }
+    return {};
+  }
+
+  // The worker is out of reach until its lease has lapsed.
+  void GoSilent(const std::string& id) {
+    Worker& worker = scheduler_.workers().at(id);
+    worker.unresponsive = true;
+    worker.listed = false;
+    now_ = std::max(now_, worker.lease_expires_by + Millis{1});
+    scheduler_.Plan(now_, kWall + Millis{now_.count}, false);
+  }
+
+  void Return(const std::string& id, std::vector<EndedRun> ended) {
+    WorkerReport report;
+    report.clock_ms = now_.count;
+    report.started_at_ms = scheduler_.workers().at(id).entry.started_at_ms;
+    report.ended = std::move(ended);
+    scheduler_.OnReport(id, report, now_, now_);
+  }
+
   void Crash(const std::string& worker) {
     Restart(scheduler_.workers().at(worker).entry.vm);
   }
@@ -126,7 +155,9 @@
     Commit();
     for (const StartOrder& it : orders.starts) {
       if (it.task.job == "a") alone = it.worker;
-      if (it.task.job == "b") EXPECT_NE(it.worker, alone);
+      if (it.task.job == "b") {
+        EXPECT_NE(it.worker, alone);
+      }
     }
     if (alone.empty()) Report(scheduler_.workers().begin()->first, {});
   }
@@ -158,6 +189,91 @@
   EXPECT_TRUE(FirstTask("a").crashes.empty());
 }
 
+TEST_F(CrashTest, JobIsNotGivenUpForWorkersThatAreOutOfReach) {
+  AddVms(8);
+  Submit("a", OneStep(Step(1, 1000)));
+  std::vector<StartOrder> lost;
+  std::map<std::string, WorkerEntry> entries;
+  for (int i = 0; i < 6; ++i) {
+    const StartOrder start = StartWithin(base::Seconds(30));
+    ASSERT_FALSE(start.worker.empty()) << i;
+    entries[start.worker] = scheduler_.workers().at(start.worker).entry;
+    GoSilent(start.worker);
+    lost.push_back(start);
+  }
+  EXPECT_EQ(scheduler_.FindJob("a")->state, JobState::kRunning);
+  for (const StartOrder& it : lost) {
+    scheduler_.UpsertWorker(entries.at(it.worker), now_);
+    Return(it.worker, {{1, it.task, it.run, EndKind::kLapsed, ""}});
+  }
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
+// The platform's rows are read again only after the leases have lapsed.
+TEST_F(CrashTest, CrashesSeenAfterTheLeasesLapsedCount) {
+  AddVms(8);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  std::vector<std::string> vms;
+  int starts = 0;
+  for (int i = 0; i < 8; ++i) {
+    const StartOrder start = StartWithin(base::Seconds(9));
+    if (start.worker.empty()) break;
+    ++starts;
+    vms.push_back(scheduler_.workers().at(start.worker).entry.vm);
+    GoSilent(start.worker);
+  }
+  EXPECT_LE(starts, 4);
+  for (const std::string& it : vms) Restart(it);
+  EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
+}
+
+TEST_F(CrashTest, CrashSeenAfterATakeoverCounts) {
+  AddVms(4);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string row = EncodeJobRow(*scheduler_.FindJob("a"));
+  Crash(Start().starts.at(0).worker);
+  const std::string worker = StartWithin(base::Seconds(1)).worker;
+  const WorkerEntry entry = scheduler_.workers().at(worker).entry;
+  GoSilent(worker);
+  const std::string progress = EncodeProgressRow(*scheduler_.FindJob("a"));
+  scheduler_.BeginTerm(1, now_);
+  ASSERT_TRUE(scheduler_.LoadJob(
+      "a", row, [](std::string_view) { return OneStep(Step(1, 1000)); }, now_,
+      kWall));
+  ASSERT_TRUE(scheduler_.LoadProgress("a", progress, now_));
+  EXPECT_EQ(FirstTask("a").crashes.crashed_workers(), 1);
+  scheduler_.UpsertWorker(entry, now_);
+  scheduler_.LoadWorker(worker, EncodeWorkerRow(Worker{}), now_);
+  Restart(entry.vm);
+  EXPECT_EQ(FirstTask("a").crashes.crashed_workers(), 2);
+}
+
+TEST_F(CrashTest, LaterCrashOfAWorkerThatCameBackIsNotTheRunsFault) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const StartOrder start = Start().starts.at(0);
+  GoSilent(start.worker);
+  now_ += Millis{10};
+  Return(start.worker, {});
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+  Crash(start.worker);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
+TEST_F(CrashTest, MoveOrderedByAnEarlierLeaderIsNoCrash) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string id = Start().starts.at(0).worker;
+  Worker& worker = scheduler_.workers().at(id);
+  worker.unresponsive = true;
+  const std::vector<Vm> vms = {
+      {worker.entry.vm, "other", VmState::kMoving, "", {}}};
+  now_ += Millis{10};
+  scheduler_.EndReplacedWorkers(vms, now_, now_);
+  EXPECT_TRUE(worker.ended);
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
 TEST_F(CrashTest, PlannedEndOfAWorkerIsNoCrash) {
   AddVms(2);
   Submit("a", OneStep(Step(1, 1000)));
@@ -170,6 +286,26 @@
   EXPECT_TRUE(FirstTask("a").crashes.empty());
 }
 
+TEST_F(CrashTest, RestartOfADrainedWorkerUnderItsIdIsNoCrash) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string id = Start().starts.at(0).worker;
+  Worker& worker = scheduler_.workers().at(id);
+  WorkerEntry entry = worker.entry;
+  entry.draining = true;
+  scheduler_.UpsertWorker(entry, now_);
+  entry.draining = false;
+  entry.started_at_ms += 500;
+  now_ += Millis{10};
+  scheduler_.UpsertWorker(entry, now_);
+  WorkerReport report;
+  report.clock_ms = 1;
+  report.started_at_ms = entry.started_at_ms;
+  scheduler_.OnReport(id, report, now_, now_);
+  EXPECT_TRUE(worker.runs.empty());
+  EXPECT_TRUE(FirstTask("a").crashes.empty());
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
--- a/tests/jobs_rows_test.cc
+++ b/tests/jobs_rows_test.cc
@@ -27,7 +27,10 @@
                          R"({"state":"running","done":[[0,0.5,"1111"]]})",
                          R"({"state":"running","failed":[[0,0,"x",[1]]]})",
                          R"({"state":"running","failed":[[0,0,0,["x"]]]})",
-                         R"({"state":"running","failed":[[0,0,9,[1]]]})"}) {
+                         R"({"state":"running","failed":[[0,0,9,[1]]]})",
+                         R"({"state":"running","lost":[[0,0,0,[1]]]})",
+                         R"({"state":"running","lost":[[0,0,0,[[1,2,3]]]]})",
+                         R"({"state":"running","lost":[[0,0,0,[[1,"w"]]]]})"}) {
     Job job = JobWithProgress();
     bool read = true;
     EXPECT_NO_THROW(read = DecodeProgressRow(it, job)) << it;
@@ -58,12 +61,30 @@
   EXPECT_EQ(row->source, job.source);
 }
 
+TEST(RowsTest, LostRunsAreReadAsWritten) {
+  Job job = JobWithProgress();
+  CrashHistory& crashes = job.occurrences[0].steps[0].tasks[2].crashes;
+  crashes.lost_runs = {{1, "w1", true}, {2, "w2", false}};
+  crashes.announced_run = 3;
+  crashes.announced_worker = "w3";
+  Job read = JobWithProgress();
+  ASSERT_TRUE(DecodeProgressRow(EncodeProgressRow(job), read));
+  const auto& runs = read.occurrences[0].steps[0].tasks[2].crashes.lost_runs;
+  ASSERT_EQ(runs.size(), 3U);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(runs[i].run, i + 1);
+    EXPECT_EQ(runs[i].worker, "w" + std::to_string(i + 1));
+    EXPECT_EQ(runs[i].crashed, i == 0);
+  }
+}
+
 RC_GTEST_PROP(RowsTest, DamagedProgressRowsDoNotThrow, ()) {
   Job job = JobWithProgress();
   Step& step = job.occurrences[0].steps[0];
   step.tasks[1].done = true;
   step.done = 1;
   step.tasks[2].failed_runs = {1, 2};
+  step.tasks[3].crashes.lost_runs = {{1, "w", true}};
   std::string row = EncodeProgressRow(job);
   const auto changes = *rc::gen::inRange(1, 4);
   for (int i = 0; i < changes; ++i) {
