A gang that lost a worker starts again

What callers would see: a gang one of whose workers crashed never starts again; its job stays `running` with nothing at work (LOST), and each plan writes the job's row. Cause: the members were announced one by one, and each announcement took back the members placed before. Those kept the run number as used, so the next plan chose another number, for which nothing was announced. Change: all members are placed, then announced together; members that are taken back keep the number of their last run and the time since which they wait.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -4,6 +4,7 @@
 // become idle and can be moved to other pools.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -268,38 +269,47 @@
   return nullptr;
 }
 
+bool Scheduler::AnnounceRun(Job& job, Task& task, int number,
+                            const std::string& worker) {
+  CrashHistory& crashes = task.crashes;
+  if (crashes.empty()) return true;
+  if (crashes.announced_worker != worker) {
+    crashes.announced_worker = worker;
+    unsaved_jobs_.insert(&job);
+  }
+  if (crashes.announced_run == number) return true;
+  crashes.announced_run = number;
+  ++job.crash_changes;
+  unsaved_jobs_.insert(&job);
+  return false;
+}
+
 bool Scheduler::StartTask(Job& job, const Queue& queue, const TaskId& id,
                           int number, Pool& pool, Orders& orders, Millis now) {
   Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
   if (!worker) return false;
   Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
-  if (!task.crashes.empty()) {
-    CrashHistory& crashes = task.crashes;
-    if (crashes.announced_worker != worker->entry.id) {
-      crashes.announced_worker = worker->entry.id;
-      unsaved_jobs_.insert(&job);
-    }
-    if (crashes.announced_run != number) {
-      crashes.announced_run = number;
-      ++job.crash_changes;
-      unsaved_jobs_.insert(&job);
-      return false;
-    }
-  }
+  if (!AnnounceRun(job, task, number, worker->entry.id)) return false;
+  AddStart(job, queue, id, number, *worker, pool, orders, now);
+  return true;
+}
+
+void Scheduler::AddStart(Job& job, const Queue& queue, const TaskId& id,
+                         int number, Worker& worker, Pool& pool, Orders& orders,
+                         Millis now) {
   StartOrder order;
-  order.worker = worker->entry.id;
+  order.worker = worker.entry.id;
   order.task = id;
   order.run = number;
-  order.deadline_ms = LeaseEnd(*worker, now);
-  order.checkpoint = task.checkpoint;
+  order.deadline_ms = LeaseEnd(worker, now);
+  order.checkpoint =
+      job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
   if (queue.needs_tickets) {
-    order.ticket =
-        *TicketFor(id.StepName(), *worker, orders, pool.workers, now);
+    order.ticket = *TicketFor(id.StepName(), worker, orders, pool.workers, now);
   }
-  AddRun(*worker, job, id, number, RunPhase::kSent, now);
-  RecordLease(*worker, now);
+  AddRun(worker, job, id, number, RunPhase::kSent, now);
+  RecordLease(worker, now);
   orders.starts.push_back(std::move(order));
-  return true;
 }
 
 // Starts all members of the gang or none; they share one run number.
@@ -308,27 +318,42 @@
   Step& state = job.occurrences[occurrence].steps[step];
   int number = 0;
   std::string checkpoint;
+  std::vector<std::pair<int, Millis>> before;
   for (const Task& it : state.tasks) {
     if (!MayStart(job, it, now)) return false;
     number = std::max(number, NextRun(it));
+    before.emplace_back(it.last_run, it.idle_since);
     if (!it.checkpoint.empty()) checkpoint = it.checkpoint;
   }
   for (Task& it : state.tasks) it.checkpoint = checkpoint;
   const std::size_t first = orders.starts.size();
+  bool complete = true;
   for (int i = 0; i < static_cast<int>(state.tasks.size()); ++i) {
     const TaskId id{job.id, occurrence, step, i};
-    if (StartTask(job, queue, id, number, pool, orders, now)) continue;
-    for (std::size_t k = first; k < orders.starts.size(); ++k) {
-      Worker* worker = FindWorker(orders.starts[k].worker);
-      const auto it = worker->runs.find(orders.starts[k].task);
-      if (it != worker->runs.end()) EndRun(*worker, it, now);
-    }
-    orders.starts.resize(first);
-    // The gang's workers have room again.
-    pool.unplaceable.clear();
-    return false;
+    Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
+    complete = worker != nullptr;
+    if (!complete) break;
+    AddStart(job, queue, id, number, *worker, pool, orders, now);
   }
-  return true;
+  bool announced = complete;
+  for (std::size_t i = 0; complete && i < state.tasks.size(); ++i) {
+    const std::string& worker = orders.starts[first + i].worker;
+    announced = AnnounceRun(job, state.tasks[i], number, worker) && announced;
+  }
+  if (announced) return true;
+  for (std::size_t k = first; k < orders.starts.size(); ++k) {
+    Worker* worker = FindWorker(orders.starts[k].worker);
+    const auto it = worker->runs.find(orders.starts[k].task);
+    if (it != worker->runs.end()) EndRun(*worker, it, now);
+  }
+  orders.starts.resize(first);
+  // The number wasn't used: it stays the announced one.
+  for (std::size_t i = 0; i < state.tasks.size(); ++i) {
+    std::tie(state.tasks[i].last_run, state.tasks[i].idle_since) = before[i];
+  }
+  // The gang's workers have room again.
+  pool.unplaceable.clear();
+  return false;
 }
 
 bool Scheduler::PlanJob(Job& job, const Queue& queue, Pool& pool,
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -445,6 +445,11 @@
                                      Millis now);
   [[nodiscard]] bool IsStepReady(const Job& job, int occurrence, int step,
                                  WallMillis wall) const;
+  /// Records that the run of a suspect is about to start on the worker. Returns
+  /// false if that has to be stored before.
+  bool AnnounceRun(Job& job, Task& task, int number, const std::string& worker);
+  void AddStart(Job& job, const Queue& queue, const TaskId& id, int number,
+                Worker& worker, Pool& pool, Orders& orders, Millis now);
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
                        Pool& pool, Orders& orders, Millis now);
   [[nodiscard]] bool CanHost(const StepSpec& step, const std::string& step_name,
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -306,6 +306,18 @@
   EXPECT_TRUE(FirstTask("a").crashes.empty());
 }
 
+TEST_F(CrashTest, GangThatLostAWorkerStartsAgain) {
+  AddVms(2);
+  StepSpec step = Step(4, 1000);
+  step.gang = true;
+  Submit("gang", OneStep(step));
+  const Orders first = Start();
+  ASSERT_EQ(first.starts.size(), 4U);
+  Crash(first.starts[0].worker);
+  EXPECT_FALSE(StartWithin(base::Seconds(9)).worker.empty());
+  EXPECT_EQ(scheduler_.run_count(), 4U);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
