Tasks of one job needn't run alone from each other

What callers would see: a gang under which two workers crashed never starts again where there are fewer empty workers than members: a deadly one isn't given up, and the job of a sound one stays `running` with nothing at work (LOST). Cause: each member had to have a worker of its own, and its own job's members counted as another possible cause of a crash. Evidence: failed before: CrashTest.GangRunsAloneOnFewerWorkersThanMembers (0 of 4 members started), CrashTest.DeadlyGangIsGivenUp (the job stayed `running`). Change: a task runs alone when only tasks of its job are beside it. It is the job that is given up, whichever of its tasks is to blame. Measured: jobs_{crashes,rows,durability,scheduler,workers,fleet,load,world}_test pass.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -43,6 +43,11 @@
   return room;
 }
 
+bool HasOnlyRunsOf(const Worker& worker, const Job& job) {
+  return std::all_of(worker.runs.begin(), worker.runs.end(),
+                     [&job](const auto& it) { return it.second.job == &job; });
+}
+
 // Sort key of jobs; the smallest is planned first. Under overload, least slack
 // first delays every job until its slack is used up. With smallest first most
 // jobs meet their objective, and the largest jobs do no worse.
@@ -138,16 +143,18 @@
   return job.spec.first_due + job.spec.interval * occurrence <= wall;
 }
 
-bool Scheduler::CanHost(const StepSpec& step, const std::string& step_name,
-                        const Task& task, const Worker& worker, bool avoid,
-                        Millis now) const {
+bool Scheduler::CanHost(const Job& job, const StepSpec& step,
+                        const std::string& step_name, const Task& task,
+                        const Worker& worker, bool avoid, Millis now) const {
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
   if (!need.Fits(FreeResources(worker))) return false;
-  if (worker.lone_runs > 0) return false;
+  if (worker.lone_runs > 0 && !IsAlone(worker, job)) return false;
   if (task.crashes.suspicion() == Suspicion::kRunAlone) {
     const bool waited = now - task.idle_since > kEmptyWorkerWait;
-    if (waited ? !IsAlone(worker, nullptr) : !worker.runs.empty()) return false;
+    if (waited ? !IsAlone(worker, job) : !HasOnlyRunsOf(worker, job)) {
+      return false;
+    }
   }
   if (!step.required_label.empty() && !HasLabel(worker, step.required_label)) {
     return false;
@@ -235,7 +242,7 @@
     Worker* best = nullptr;
     std::int64_t best_score = 0;
     for (Worker* it : pool.workers) {
-      if (!CanHost(step, name, task, *it, avoid, now)) continue;
+      if (!CanHost(job, step, name, task, *it, avoid, now)) continue;
       if (queue.needs_tickets &&
           !TicketFor(name, *it, orders, pool.workers, now)) {
         continue;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -149,11 +149,11 @@
   if (worker.runs.empty()) worker.idle_since = now;
 }
 
-bool IsAlone(const Worker& worker, const Run* run) {
+bool IsAlone(const Worker& worker, const Job& job) {
   return std::all_of(
-      worker.runs.begin(), worker.runs.end(), [run](const auto& it) {
+      worker.runs.begin(), worker.runs.end(), [&job](const auto& it) {
         const Run& other = it.second;
-        return &other == run ||
+        return other.job == &job ||
                (other.job->long_running && other.percent >= kFullPercent);
       });
 }
@@ -171,7 +171,7 @@
 void Scheduler::LoseRuns(Worker& worker, WorkerLoss loss, Millis now) {
   std::vector<std::pair<Run, bool>> lost;
   for (const auto& [id, run] : worker.runs) {
-    lost.emplace_back(run, IsAlone(worker, &run));
+    lost.emplace_back(run, IsAlone(worker, *run.job));
   }
   while (!worker.runs.empty()) EndRun(worker, worker.runs.begin(), now);
   if (loss == WorkerLoss::kPlanned || worker.entry.draining) return;
@@ -274,7 +274,7 @@
   if (worker.runs.empty()) return;
   for (auto& [id, run] : worker.runs) {
     run.worker_crashed = !planned;
-    run.was_alone = IsAlone(worker, &run);
+    run.was_alone = IsAlone(worker, *run.job);
   }
   // Starts sent since the restart carry a lease by the clock of the previous
   // incarnation, which the worker limits to the longest one.
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -120,7 +120,8 @@
   /// Its worker has restarted though it wasn't about to leave. The run was lost
   /// unless a later report lists it.
   bool worker_crashed = false;
-  bool was_alone = false;  ///< With `worker_crashed`: on the lost worker.
+  /// With `worker_crashed`: with its job on the lost worker.
+  bool was_alone = false;
   std::int64_t load = 0;
   Millis pace_changed_at{-1};
   int pace = 100;
@@ -178,9 +179,10 @@
 
 /// A long-running task pins its VM to the pool.
 bool HostsLongRunningTask(const Worker& worker);
-/// Whether no run on the worker except `run` may crash it: long-running tasks
-/// at work have shown that they don't.
-bool IsAlone(const Worker& worker, const Run* run);
+/// Whether no run on the worker except those of `job` may crash it:
+/// long-running tasks at work have shown that they don't. Tasks of one job
+/// needn't be told apart, as it is the job that is given up.
+bool IsAlone(const Worker& worker, const Job& job);
 /// Whether the store holds the task's crash history; it isn't started before.
 inline bool IsHistoryStored(const Job& job, const Task& task) {
   return task.crashes.empty() ||
@@ -452,8 +454,9 @@
                 Worker& worker, Pool& pool, Orders& orders, Millis now);
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
                        Pool& pool, Orders& orders, Millis now);
-  [[nodiscard]] bool CanHost(const StepSpec& step, const std::string& step_name,
-                             const Task& task, const Worker& worker, bool avoid,
+  [[nodiscard]] bool CanHost(const Job& job, const StepSpec& step,
+                             const std::string& step_name, const Task& task,
+                             const Worker& worker, bool avoid,
                              Millis now) const;
   /// Ends silent workers whose VM has registered the later worker `entry`.
   void EndPredecessors(const WorkerEntry& entry, Millis now);
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -82,6 +82,26 @@
     Restart(scheduler_.workers().at(worker).entry.vm);
   }
 
+  void SubmitGang(const std::string& job) {
+    StepSpec step = Step(4, 1000);
+    step.gang = true;
+    Submit(job, OneStep(step));
+  }
+
+  // The first member crashes its worker, and the others end.
+  void CrashGang(const Orders& orders) {
+    const std::string crashed = orders.starts.at(0).worker;
+    now_ += Millis{10};
+    for (const StartOrder& it : orders.starts) {
+      if (it.worker == crashed) continue;
+      const std::int64_t number =
+          scheduler_.workers().at(it.worker).reported_end_number + 1;
+      Return(it.worker,
+             {{number, it.task, it.run, EndKind::kGangMemberEnded, ""}});
+    }
+    Crash(crashed);
+  }
+
   const Task& FirstTask(const std::string& job) {
     return scheduler_.FindJob(job)->occurrences[0].steps[0].tasks[0];
   }
@@ -308,9 +328,7 @@
 
 TEST_F(CrashTest, GangThatLostAWorkerStartsAgain) {
   AddVms(2);
-  StepSpec step = Step(4, 1000);
-  step.gang = true;
-  Submit("gang", OneStep(step));
+  SubmitGang("gang");
   const Orders first = Start();
   ASSERT_EQ(first.starts.size(), 4U);
   Crash(first.starts[0].worker);
@@ -318,6 +336,42 @@
   EXPECT_EQ(scheduler_.run_count(), 4U);
 }
 
+// Two crashes leave its members to run alone; there are fewer workers.
+TEST_F(CrashTest, GangRunsAloneOnFewerWorkersThanMembers) {
+  AddVms(2);
+  SubmitGang("gang");
+  CrashGang(Start());
+  CrashGang(Start());
+  Submit("other", OneStep(Step(1, 1000)));
+  std::string other;
+  int members = 0;
+  for (int i = 0; i < 4; ++i) {
+    const Orders orders = Plan();
+    Started(orders);
+    Commit();
+    for (const StartOrder& it : orders.starts) {
+      if (it.task.job == "other") other = it.worker;
+      if (it.task.job == "gang") ++members;
+    }
+  }
+  EXPECT_EQ(members, 4);
+  EXPECT_EQ(scheduler_.workers().at(other).lone_runs, 0);
+}
+
+TEST_F(CrashTest, DeadlyGangIsGivenUp) {
+  AddVms(3);
+  SubmitGang("gang");
+  int starts = 0;
+  for (int i = 0; i < 10; ++i) {
+    const Orders orders = Start();
+    if (orders.starts.empty()) break;
+    ++starts;
+    CrashGang(orders);
+  }
+  EXPECT_LE(starts, 4);
+  EXPECT_EQ(scheduler_.FindJob("gang")->state, JobState::kFailed);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
