Suspects announced for the same worker run apart

What callers would see: tasks lost together crash the next worker together again; sound ones among them become suspects of a second crash. Cause: the announced worker was preferred to any other, also when another suspect had been started there meanwhile. Evidence: CrashTest.SuspectsRunApart failed before: both on vm1-4. Change: the announced worker is preferred only without other suspects. Measured: jobs_crashes_test passes.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -258,7 +258,10 @@
       if (suspicion == Suspicion::kSuspect && it->suspect_runs > 0) {
         score += 4 * kScorePenalty;
       }
-      if (announced_on && *announced_on == it->entry.id) return it;
+      if (announced_on && *announced_on == it->entry.id &&
+          it->suspect_runs == 0) {
+        return it;
+      }
       if (step.long_running) {
         if (it->awaits_upkeep) score += kScorePenalty;
         // A long-running task prevents its VM from being moved to another pool,
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -372,6 +372,19 @@
   EXPECT_EQ(scheduler_.FindJob("gang")->state, JobState::kFailed);
 }
 
+TEST_F(CrashTest, SuspectsRunApart) {
+  AddVms(3);
+  Submit("a", OneStep(Step(1, 1000)));
+  Submit("b", OneStep(Step(1, 1000)));
+  const Orders first = Start();
+  ASSERT_EQ(first.starts.size(), 2U);
+  ASSERT_EQ(first.starts[0].worker, first.starts[1].worker);
+  Crash(first.starts[0].worker);
+  const Orders second = Start();
+  ASSERT_EQ(second.starts.size(), 2U);
+  EXPECT_NE(second.starts[0].worker, second.starts[1].worker);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
