A gang with a refused member is stopped

A worker refuses one member of a gang (409 room: its capacity has shrunk and the leader hasn't read that yet; likewise 429, 503 or no ticket). The others wait gang_wait_ms (3 s) for it and end 'alone', at the price of that wait. Cause: the answer ended only the refused run. A gang starts again as a whole once none of its members is active. Evidence: SchedulerTest.GangWithARefusedMemberIsStopped failed before: no stop for the member at work. Change: a refusal stops the other members, those that await their answers once they have it; the gang starts again when their ends are listed. Measured: the test passes, and the jobs_*, platform_codec, platform_reading and node_renewal tests (release).

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -303,7 +303,9 @@
     run.stop_wanted = worker->stops_wanted = worker->unresponsive = true;
     return;
   }
+  Job& job = *run.job;
   EndRun(*worker, it, now);
+  if (job.spec.steps[order.task.step].gang) StopGang(job, order.task);
   switch (answer) {
     case StartAnswer::kNoCapacity:
       worker->refused_until = now + kNoRoomPause;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -242,6 +242,18 @@
   }
 }
 
+void Scheduler::StopGang(const Job& job, const TaskId& member) {
+  for (auto& [id, worker] : workers_) {
+    for (auto& [task, run] : worker.runs) {
+      if (run.job != &job || task.occurrence != member.occurrence ||
+          task.step != member.step || run.stopping) {
+        continue;
+      }
+      run.stop_wanted = worker.stops_wanted = true;
+    }
+  }
+}
+
 std::size_t Scheduler::Pending(std::string_view queue) const {
   std::size_t n = 0;
   for (const Job* it : active_jobs_) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -433,6 +433,9 @@
   void FailJob(Job& job, Millis now);
   void CountFailure(Worker& worker, const Job& job, Millis now);
   void StopAll(Job& job);
+  /// Stops the other members of a gang of which `member` doesn't start: they
+  /// would wait for it.
+  void StopGang(const Job& job, const TaskId& member);
   void CheckProgress(Worker& worker, Run& run, Millis now);
   void AdjustPaces(Worker& worker, Orders& orders, Millis now);
   void PlanStops(Orders& orders, Millis now);
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -79,6 +79,37 @@
     EXPECT_EQ(it.run, orders.starts[0].run);
 }
 
+// The other members would wait for the refused one and end `alone`.
+TEST_F(SchedulerTest, GangWithARefusedMemberIsStopped) {
+  AddWorker("w1", 4000);
+  AddWorker("w2", 4000);
+  StepSpec step = Step(3, 2000);
+  step.gang = true;
+  Submit("a", OneStep(step));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 3U);
+  // The capacity of this worker has shrunk, and isn't read yet.
+  scheduler_.OnStart(orders.starts[0], StartAnswer::kStarted, now_);
+  scheduler_.OnStart(orders.starts[2], StartAnswer::kNoCapacity, now_);
+  Orders next = Plan();
+  EXPECT_TRUE(next.starts.empty());
+  ASSERT_EQ(next.stops.size(), 1U);
+  EXPECT_EQ(next.stops[0].task, orders.starts[0].task);
+  // Its start is answered first.
+  scheduler_.OnStart(orders.starts[1], StartAnswer::kStarted, now_);
+  next = Plan();
+  ASSERT_EQ(next.stops.size(), 1U);
+  EXPECT_EQ(next.stops[0].task, orders.starts[1].task);
+  EXPECT_TRUE(Plan().stops.empty());
+  now_ += Millis{200};
+  Report(orders.starts[0].worker, {},
+         {{1, orders.starts[0].task, 1, EndKind::kStopped, ""},
+          {2, orders.starts[1].task, 1, EndKind::kStopped, ""}});
+  const Orders again = Plan();
+  ASSERT_EQ(again.starts.size(), 3U);
+  EXPECT_GT(again.starts[0].run, orders.starts[0].run);
+}
+
 TEST_F(SchedulerTest, HonoursLabelsRacksAndLimitsPerWorker) {
   AddWorker("plain", 8000, {"a", "rack1"});
   AddWorker("near", 8000, {"a", "rack2"});
