Property also over jobs that ended longer ago than the retention time

Change: a second property with a retention of 0.5 s. A job may be forgotten only once the store holds its final state and it ended that long ago; the first is as before.

No functional change

--- a/tests/jobs_durability_test.cc
+++ b/tests/jobs_durability_test.cc
@@ -67,7 +67,7 @@
 /// faults: workers answer every order and report after every action.
 class Deployment {
  public:
-  Deployment() {
+  explicit Deployment(SchedulerSettings settings) : settings_(settings) {
     for (int i = 0; i < kWorkers; ++i) {
       EmulatedWorker& it = workers_["worker" + std::to_string(i)];
       it.entry.id = "worker" + std::to_string(i);
@@ -99,6 +99,7 @@
     bool accepted = false;
     bool denied = false;  ///< Its client was told that it never runs.
     std::optional<JobState> final_state;
+    std::optional<Millis> over_since;  ///< When a leader first said so.
   };
 
   [[nodiscard]] WallMillis Wall() const {
@@ -297,7 +298,7 @@
   void BeginTerm() {
     in_flight_ = std::nullopt;
     written_ = 0;
-    scheduler_ = std::make_unique<Scheduler>(SchedulerSettings{kLease});
+    scheduler_ = std::make_unique<Scheduler>(settings_);
     scheduler_->BeginTerm(term_++, now_ + kLease * 2);
     scheduler_->SetConfiguration(config_);
     for (const auto& [id, row] : store_[kJobTable]) {
@@ -324,7 +325,13 @@
       const Job* job = scheduler_->FindJob(id);
       if (record.denied && job) RC_FAIL(id + " was denied and is known");
       const bool stored = job && job->stored;
-      if (record.accepted && !stored) {
+      if (job && HasEnded(job->state) && !record.over_since) {
+        record.over_since = now_;
+      }
+      const bool may_be_forgotten =
+          record.final_state && record.over_since &&
+          now_ - *record.over_since > settings_.retention;
+      if (record.accepted && !stored && !may_be_forgotten) {
         RC_FAIL(id + " was accepted and isn't known");
       }
       if (!stored) continue;
@@ -355,6 +362,7 @@
     RC_ASSERT(task.done || static_cast<int>(task.failed_runs.size()) >= n);
   }
 
+  SchedulerSettings settings_;
   Configuration config_ = OneQueue(kAttempts, Millis{500});
   Millis now_{1000};
   std::uint64_t term_ = 0;
@@ -448,7 +456,17 @@
               ()) {
   base::ConfigureLog(base::LogLevel::kError, base::LogFormat::kKeyValue, "",
                      "test");
-  Deployment deployment;
+  Deployment deployment{{kLease}};
+  for (const Action& it : *Actions()) deployment.Do(it);
+}
+
+RC_GTEST_PROP(DurabilityTest, EndedJobIsForgottenOnlyAfterItsFinalStateIsStored,
+              ()) {
+  base::ConfigureLog(base::LogLevel::kError, base::LogFormat::kKeyValue, "",
+                     "test");
+  SchedulerSettings settings{kLease};
+  settings.retention = Millis{500};
+  Deployment deployment{settings};
   for (const Action& it : *Actions()) deployment.Do(it);
 }
 
