Suspects of one job don't wait for each other's history

What callers would see: after a crash the tasks of one job start again one by one, one transaction each, instead of together: eight took eight commits. Cause: a task waited until all changes to the histories of its job were stored, and each announcement is such a change. Evidence: CrashTest.SuspectsOfAJobStartInOnePlan failed before: 1 of 8 started. Change: each history keeps the number of its own newest change. Measured: jobs_{crashes,rows,durability,scheduler,workers,fleet,load,world}_test pass.

--- a/src/jobs/crash_history.h
+++ b/src/jobs/crash_history.h
@@ -39,6 +39,8 @@
   /// the end of its worker; 0: none.
   int announced_run = 0;
   std::string announced_worker;
+  /// Number of its job's changes after the newest one to this history.
+  int changed_at = 0;
 
   [[nodiscard]] bool empty() const { return lost_runs.empty(); }
   /// Returns false if nothing new is learned of the run.
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -290,7 +290,7 @@
   }
   if (crashes.announced_run == number) return true;
   crashes.announced_run = number;
-  ++job.crash_changes;
+  crashes.changed_at = ++job.crash_changes;
   unsaved_jobs_.insert(&job);
   return false;
 }
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -187,7 +187,7 @@
   if (HasEnded(job.state) || task.done) return;
   const bool crashed = loss == WorkerLoss::kCrashed;
   if (!task.crashes.Add({run.number, worker, crashed})) return;
-  ++job.crash_changes;
+  task.crashes.changed_at = ++job.crash_changes;
   unsaved_jobs_.insert(&job);
   if (!crashed) {
     unexplained_losses_.emplace(
@@ -224,7 +224,7 @@
     if (HasEnded(job.state) || !HasTask(job, loss.task)) continue;
     Task& task = TaskOf(job, loss.task);
     if (task.done || !task.crashes.Confirm(loss.run)) continue;
-    ++job.crash_changes;
+    task.crashes.changed_at = ++job.crash_changes;
     unsaved_jobs_.insert(&job);
     LogLine(LogLevel::kInfo, "loss_was_crash")
         .With("task", loss.task.ToText())
@@ -256,7 +256,7 @@
 
 void Scheduler::RecordSurvival(Job& job, Task& task, int run) {
   if (!task.crashes.Remove(run)) return;
-  ++job.crash_changes;
+  task.crashes.changed_at = ++job.crash_changes;
   if (!HasEnded(job.state)) unsaved_jobs_.insert(&job);
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -186,7 +186,7 @@
 /// Whether the store holds the task's crash history; it isn't started before.
 inline bool IsHistoryStored(const Job& job, const Task& task) {
   return task.crashes.empty() ||
-         job.crash_changes == job.committed_crash_changes;
+         task.crashes.changed_at <= job.committed_crash_changes;
 }
 
 /// Order of jobs that can still meet their objective. All values except
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -398,6 +398,15 @@
   EXPECT_NE(second.starts[0].worker, second.starts[1].worker);
 }
 
+TEST_F(CrashTest, SuspectsOfAJobStartInOnePlan) {
+  AddVms(2);
+  Submit("a", OneStep(Step(8, 1000)));
+  const Orders first = Start();
+  ASSERT_EQ(first.starts.size(), 8U);
+  Crash(first.starts[0].worker);
+  EXPECT_EQ(Start().starts.size(), 8U);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
