A suspect's run at work stays announced

What callers would see: a task that crashes a worker after it was reported at work could be started more often than BUDGET allows when leaders are lost with the workers: the next leader didn't know the run. Cause: a report that lists a run ended its announcement, as if the worker had survived it, and a next leader that finds the run at work forgot it likewise. Evidence: CrashTest.RunAtWorkStaysAnnounced and CrashTest.NextLeaderAnnouncesTheRunThatItFindsAtWork failed before: one run to store instead of two. Change: a listed run is no longer lost, but stays announced until its end is listed. Measured: jobs_{crashes,rows,durability,scheduler,workers,fleet,load,world}_test pass.

--- a/src/jobs/crash_history.cc
+++ b/src/jobs/crash_history.cc
@@ -35,6 +35,14 @@
   return false;
 }
 
+bool CrashHistory::Resume(int run, const std::string& worker) {
+  const auto is_run = [run](const LostRun& it) { return it.run == run; };
+  if (std::erase_if(lost_runs, is_run) == 0) return false;
+  announced_run = run;
+  announced_worker = worker;
+  return true;
+}
+
 bool CrashHistory::Remove(int run) {
   const bool announced = run == announced_run && run != 0;
   if (announced) announced_run = 0;
--- a/src/jobs/crash_history.h
+++ b/src/jobs/crash_history.h
@@ -48,6 +48,9 @@
   /// The worker of a lost run is known to have crashed. Returns false if the
   /// run isn't lost or this is known.
   bool Confirm(int run);
+  /// The run is in progress, though the worker may still crash. Returns false
+  /// if it wasn't lost.
+  bool Resume(int run, const std::string& worker);
   /// The worker has survived the run. Returns false if the run is unknown.
   bool Remove(int run);
   /// The runs to store: those lost and the one that may be.
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -426,7 +426,10 @@
   run.worker_crashed = false;
   Task& task = TaskOf(*run.job, run.task);
   task.last_run = std::max(task.last_run, active.run);
-  RecordSurvival(*run.job, task, active.run);
+  if (task.crashes.Resume(active.run, worker.entry.id)) {
+    task.crashes.changed_at = ++run.job->crash_changes;
+    if (!HasEnded(run.job->state)) unsaved_jobs_.insert(run.job);
+  }
   if (!active.checkpoint.empty()) task.checkpoint = active.checkpoint;
   if (active.percent != run.percent) run.progress_at = now;
   run.percent = active.percent;
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -407,6 +407,49 @@
   EXPECT_EQ(Start().starts.size(), 8U);
 }
 
+TEST_F(CrashTest, RunAtWorkStaysAnnounced) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  Crash(Start().starts.at(0).worker);
+  const StartOrder start = Start().starts.at(0);
+  now_ += Millis{10};
+  WorkerReport report;
+  report.clock_ms = now_.count;
+  report.started_at_ms = scheduler_.workers().at(start.worker).started_at_ms;
+  report.active = {{start.task, start.run, "", 5, 0}};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 2U);
+  report.active.clear();
+  report.ended = {{1, start.task, start.run, EndKind::kStopped, ""}};
+  now_ += Millis{10};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 1U);
+}
+
+TEST_F(CrashTest, NextLeaderAnnouncesTheRunThatItFindsAtWork) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const std::string row = EncodeJobRow(*scheduler_.FindJob("a"));
+  Crash(Start().starts.at(0).worker);
+  const StartOrder start = Start().starts.at(0);
+  const WorkerEntry entry = scheduler_.workers().at(start.worker).entry;
+  const std::string progress = EncodeProgressRow(*scheduler_.FindJob("a"));
+  scheduler_.BeginTerm(1, now_);
+  ASSERT_TRUE(scheduler_.LoadJob(
+      "a", row, [](std::string_view) { return OneStep(Step(1, 1000)); }, now_,
+      kWall));
+  ASSERT_TRUE(scheduler_.LoadProgress("a", progress, now_));
+  scheduler_.UpsertWorker(entry, now_);
+  WorkerReport report;
+  report.clock_ms = now_.count;
+  report.started_at_ms = entry.started_at_ms;
+  report.active = {{start.task, start.run, "", 5, 0}};
+  now_ += Millis{10};
+  scheduler_.OnReport(start.worker, report, now_, now_);
+  EXPECT_EQ(FirstTask("a").crashes.lost_runs.size(), 1U);
+  EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 2U);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
