--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -128,8 +128,12 @@
   const Orders orders = Plan();
   std::map<std::string, int> third;
   for (const StartOrder& it : orders.starts) {
-    if (it.task.step == 0) EXPECT_EQ(it.worker, "special");
-    if (it.task.step == 1) EXPECT_EQ(it.worker, "near");
+    if (it.task.step == 0) {
+      EXPECT_EQ(it.worker, "special");
+    }
+    if (it.task.step == 1) {
+      EXPECT_EQ(it.worker, "near");
+    }
     if (it.task.step == 2) ++third[it.worker];
   }
   EXPECT_EQ(third.size(), 3U);
