Property: a deadly task is given up however its crashes are seen

Each crash is seen at once, after the lease has lapsed, or by the next leader, with at most one crash that only a lost leader knew of. At most five starts are allowed: BUDGET breaks with the sixth.

No functional change

--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -2,6 +2,7 @@
 // other reasons.
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <map>
 #include <string>
@@ -56,7 +57,7 @@
       const Orders orders = Plan();
       Started(orders);
       if (!orders.starts.empty()) return orders.starts[0];
-      Commit();
+      Store();
     }
     return {};
   }
@@ -102,11 +103,60 @@
     Crash(crashed);
   }
 
+  // Another node leads, which knows what was stored, and the worker `lost`,
+  // which has crashed, only from its row.
+  void TakeOver(const std::string& job, const std::string& lost) {
+    std::vector<Worker> workers;
+    for (const auto& [id, worker] : scheduler_.workers()) {
+      if (!worker.ended && worker.listed) workers.push_back(worker);
+    }
+    scheduler_.BeginTerm(++term_, now_);
+    ASSERT_TRUE(scheduler_.LoadJob(
+        job, row_, [](std::string_view) { return OneStep(Step(1, 1000)); },
+        now_, kWall));
+    if (!progress_.empty()) {
+      ASSERT_TRUE(scheduler_.LoadProgress(job, progress_, now_));
+    }
+    for (const Worker& it : workers) {
+      const std::string& id = it.entry.id;
+      scheduler_.LoadWorker(id, EncodeWorkerRow(it), now_);
+      if (id == lost) continue;
+      scheduler_.UpsertWorker(it.entry, now_);
+      WorkerReport report;
+      report.clock_ms = now_.count;
+      report.started_at_ms = it.entry.started_at_ms;
+      scheduler_.OnReport(id, report, now_, now_);
+    }
+  }
+
+  // The platform's list of VMs is read.
+  void ListVms() {
+    std::map<std::string, Vm> vms;
+    for (const auto& [id, worker] : scheduler_.workers()) {
+      if (!worker.adopted || worker.unresponsive) continue;
+      vms[worker.entry.vm] = {worker.entry.vm, "pool", VmState::kUp, id, {}};
+    }
+    std::vector<Vm> list;
+    for (const auto& [name, vm] : vms) list.push_back(vm);
+    now_ += Millis{10};
+    scheduler_.EndReplacedWorkers(list, now_, now_);
+    Store();
+  }
+
+  void Store() {
+    Commit();
+    const Job* job = scheduler_.FindJob("deadly");
+    if (job) progress_ = EncodeProgressRow(*job);
+  }
+
   const Task& FirstTask(const std::string& job) {
     return scheduler_.FindJob(job)->occurrences[0].steps[0].tasks[0];
   }
 
   int lives_ = 0;
+  std::uint64_t term_ = 0;
+  std::string row_;
+  std::string progress_;
 };
 
 // A job without a run for 3 s, though there is room, counts as lost.
@@ -450,6 +500,37 @@
   EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 2U);
 }
 
+// Each crash is seen at once, after the lease has lapsed, or by the next
+// leader.
+RC_GTEST_FIXTURE_PROP(CrashTest, DeadlyTaskIsGivenUpHoweverItsCrashesAreSeen,
+                      ()) {
+  constexpr int kMaxStarts = 5;
+  AddVms(4);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  row_ = EncodeJobRow(*scheduler_.FindJob("deadly"));
+  int unseen = 0;
+  int starts = 0;
+  for (int i = 0; i < 10; ++i) {
+    const StartOrder start = StartWithin(base::Seconds(30));
+    if (start.worker.empty()) break;
+    ++starts;
+    const std::string vm = scheduler_.workers().at(start.worker).entry.vm;
+    // A crash that only a lost leader knew of isn't known to the next one: the
+    // bound allows for one.
+    const bool first = FirstTask("deadly").crashes.empty();
+    const int how = *rc::gen::inRange(0, first && unseen > 0 ? 2 : 3);
+    if (how == 1) GoSilent(start.worker);
+    if (how == 2) {
+      if (first) ++unseen;
+      TakeOver("deadly", start.worker);
+    }
+    Restart(vm);
+    ListVms();
+  }
+  RC_ASSERT(scheduler_.FindJob("deadly")->state == JobState::kFailed);
+  RC_ASSERT(starts <= kMaxStarts);
+}
+
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
   AddVms(3);
   StepSpec step = Step(1, 1000);
