--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -500,8 +500,7 @@
   EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 2U);
 }
 
-// Each crash is seen at once, after the lease has lapsed, or by the next
-// leader.
+// Each crash is seen at once, after the lease, or by the next leader.
 RC_GTEST_FIXTURE_PROP(CrashTest, DeadlyTaskIsGivenUpHoweverItsCrashesAreSeen,
                       ()) {
   constexpr int kMaxStarts = 5;
--- a/tests/jobs_durability_test.cc
+++ b/tests/jobs_durability_test.cc
@@ -378,8 +378,7 @@
   int next_job_ = 0;
 };
 
-// While the store refused transactions, a worker left and came back under its
-// id: each transaction then removed and wrote its row.
+// It left and came back while the store refused transactions.
 TEST(DurabilityTest, WorkerThatCameBackIsNotRemovedByTheSameTransaction) {
   Scheduler scheduler{SchedulerSettings{kLease}};
   scheduler.BeginTerm(0, {0});
@@ -406,8 +405,7 @@
   EXPECT_EQ(batch.workers, std::vector<std::string>{"worker"});
 }
 
-// The job was forgotten while its final state was in flight: once that was
-// refused, its row stayed, and the next leader ran it again.
+// Forgotten while that is in flight, its row would stay if it is refused.
 TEST(DurabilityTest, JobIsKeptUntilItsFinalStateIsCommitted) {
   const SchedulerSettings settings{kLease};
   Scheduler scheduler{settings};
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -512,8 +512,7 @@
   EXPECT_EQ(job->queue, "queue");
 }
 
-// A node that started after a queue was removed became leader: it never started
-// the queue's jobs, and one failed run would have failed them.
+// They were never started, and one failed run would have failed them.
 TEST_F(SchedulerTest, JobOfARemovedQueueGoesOnUnderALeaderThatNeverKnewIt) {
   Submit("a", OneStep(Step(1, 1000)));
   const std::string row = EncodeJobRow(*scheduler_.FindJob("a"));
@@ -539,8 +538,7 @@
   }
 }
 
-// Jobs whose starts were refused, or whose gang had no room, were missing from
-// the number of pending jobs.
+// A refused start, or a gang without room, counted as a start.
 TEST_F(SchedulerTest, JobIsPendingUntilAStartOfItIsConfirmed) {
   AddWorker("w", 4000);
   StepSpec gang = Step(2, 3000);
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -105,8 +105,7 @@
   EXPECT_EQ(next.rows[0].key, "w");
 }
 
-// The new incarnation was registered before the registration of the ended one
-// was removed: it was never used.
+// It registers before the registration of the ended incarnation is removed.
 TEST_F(SchedulerTest, WorkerThatRestartsUnderItsIdAfterItEndedIsUsed) {
   AddWorker("w");
   Submit("a", OneStep(Step(1, 1000)));
