--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -293,8 +293,9 @@
     if (!worker.adopted || worker.stored || worker.ended) continue;
     // The worker came back before its row was removed. The entries of a
     // transaction have no order.
-    std::erase_if(batch.rows, [&id](const RowWrite& row) {
-      return row.table == kWorkerTable && row.key == id;
+    const std::string& key = id;
+    std::erase_if(batch.rows, [&key](const RowWrite& row) {
+      return row.table == kWorkerTable && row.key == key;
     });
     batch.rows.push_back({kWorkerTable, id, EncodeWorkerRow(worker)});
     batch.workers.push_back(id);
