Measure how old the leader's registrations are

A leader that learns seconds late which workers drain left no trace of it: the lumps of worker_listed were the only sign, and whether the store, the link or the event loop was slow took a trial build to tell.

worker_feed_slow tells how long registrations took from the store, by the store's clock, and event_loop_slow how long the planner waited for its turn; each at most once a round or plan, and only above 0.5 s and 0.3 s. The same figures and the age of the registrations when starts are planned are distributions at /metrics.

No functional change

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -296,6 +296,10 @@
   void RemoveWorker(std::string_view id);
   /// All registrations as of the time `at` have been applied.
   void OnRegistrationsRead(Millis at) { registrations_as_of_ = at; }
+  /// Empty until this leader has read all registrations.
+  [[nodiscard]] std::optional<Millis> registrations_as_of() const {
+    return registrations_as_of_;
+  }
   /// Whether the workers of a pool start more than they have capacity for.
   [[nodiscard]] bool MustGuardCapacity() const;
   /// Ends a worker whose VM runs another one or none: nothing runs on it.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -19,6 +19,11 @@
 /// The same where starts depend on registrations that were read lately: an
 /// unanswered feed and a slow one must be noticed in time.
 constexpr Millis kShortFeedWait{1000};
+/// Registrations that take longer to arrive are logged; normally it is 10 ms.
+constexpr Millis kSlowFeed{500};
+/// A turn of the event loop that takes longer is logged. Under full load it
+/// takes 30 ms.
+constexpr Millis kSlowTurn{300};
 constexpr Millis kRetryPause{150};
 /// Timeout of a start or stop order: workers respond in 5 ms, and a busy leader
 /// processes the response within 100 ms.
@@ -113,9 +118,11 @@
     auto page = co_await platform_.Changes(platform::kWorkerEntryTable,
                                            workers_version_, wait);
     if (!IsLeading(term)) co_return;
+    const Millis took = clock_.Now() - sent;
     if (!page) {
       LogLine(LogLevel::kWarning, "worker_feed_lost")
           .With("after", workers_version_)
+          .With("ms", took.count)
           .With("error", page.error().what);
       read = false;
       if (page.error().failure != CallFailure::kHistoryLost) {
@@ -123,13 +130,14 @@
       }
       continue;
     }
+    if (page->store_ms > 0) RecordFeed(*page);
     for (const platform::StoreRow& it : page->rows) {
       ApplyWorkerRow(it);
       WatchWorker(term, it.key);
     }
     workers_version_ = std::max(workers_version_, page->version);
     // Without changes, the store has answered at the end of the wait.
-    const bool waited = page->rows.empty() && clock_.Now() - sent >= wait;
+    const bool waited = page->rows.empty() && took >= wait;
     scheduler_.OnRegistrationsRead(waited ? sent + wait : sent);
     RequestPlan();
   }
@@ -231,17 +239,51 @@
 Awaitable<void> NodeProcess::PlanLoop(std::uint64_t term) {
   while (IsLeading(term)) {
     if (!plan_due_) co_await plan_signal_.Wait(kPlanInterval);
+    const Millis begin = clock_.Now();
     co_await kernel::Sleep(kPlanDelay);
     plan_due_ = false;
     if (!IsLeading(term)) co_return;
+    const Millis now = clock_.Now();
+    RecordTurn(now - begin - kPlanDelay);
     const int room = start_window_.Room(starts_in_flight_);
     const auto max_starts =
         static_cast<std::size_t>(CanSendOrders() ? room : 0);
-    Execute(term, scheduler_.Plan(clock_.Now(), clock_.Wall(), max_starts));
+    jobs::Orders orders = scheduler_.Plan(now, clock_.Wall(), max_starts);
+    if (!orders.starts.empty()) {
+      metrics_.Observe("hemlockward_registrations_age_ms", "",
+                       static_cast<double>(RegistrationsAge(now).count));
+    }
+    Execute(term, std::move(orders));
     if (scheduler_.HasChanges()) commit_signal_.Notify();
   }
 }
 
+Millis NodeProcess::RegistrationsAge(Millis now) const {
+  return now - scheduler_.registrations_as_of().value_or(lease_taken_);
+}
+
+void NodeProcess::RecordFeed(const platform::StorePage& page) {
+  const Millis transit{StoreTime() - page.store_ms};
+  metrics_.Observe("hemlockward_worker_feed_ms", "",
+                   static_cast<double>(transit.count));
+  if (transit > kSlowFeed) {
+    LogLine(LogLevel::kWarning, "worker_feed_slow")
+        .With("ms", transit.count)
+        .With("rows", page.rows.size())
+        .With("starts_in_flight", starts_in_flight_);
+  }
+}
+
+void NodeProcess::RecordTurn(Millis turn) {
+  metrics_.Observe("hemlockward_event_loop_turn_ms", "",
+                   static_cast<double>(turn.count));
+  if (turn > kSlowTurn) {
+    LogLine(LogLevel::kWarning, "event_loop_slow")
+        .With("ms", turn.count)
+        .With("starts_in_flight", starts_in_flight_);
+  }
+}
+
 void NodeProcess::Execute(std::uint64_t term, jobs::Orders orders) {
   std::set<std::string> started;
   for (jobs::StartOrder& it : orders.starts) {
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -195,6 +195,11 @@
   Awaitable<void> RenewWorker(std::uint64_t term, std::string id,
                               bool may_wait);
   Awaitable<void> PlanLoop(std::uint64_t term);
+  void RecordFeed(const platform::StorePage& page);
+  /// Time since all registrations were as this leader knows them.
+  [[nodiscard]] Millis RegistrationsAge(Millis now) const;
+  /// `turn`: how long a coroutine that was ready waited for the event loop.
+  void RecordTurn(Millis turn);
   void Execute(std::uint64_t term, jobs::Orders orders);
   Awaitable<void> ExecuteStart(std::uint64_t term, jobs::StartOrder order);
   Awaitable<void> ExecuteStop(std::uint64_t term, jobs::StopOrder order);
