A page of a table that got no answer is read again, not the whole table

Under a store that loses answers, a new leader stayed unloaded for as long as some read of each attempt was lost: clients that asked for accepted jobs got no answer, and nothing started. Cause: a load began anew with the first of five tables whenever a page had no answer; registrations and the operator's table began anew with their first page. Change: node::ReadTable requests the page again and keeps those before it. Only the leader writes its own tables. What others change meanwhile in registrations and the operator's table is followed from the version of the first page. A read ends when the lease is lost, asked before each request and before its rows are applied.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -352,9 +352,6 @@
   std::uint64_t WriteRow(RowWrite row);
   /// Rows of the fleet up to this number are in the store.
   [[nodiscard]] std::uint64_t rows_committed() const { return rows_committed_; }
-  [[nodiscard]] Millis earlier_leases_expire_at() const {
-    return earlier_leases_expire_at_;
-  }
   /// Time at which the first job without long-running tasks was submitted;
   /// empty before.
   [[nodiscard]] std::optional<Millis> demand_since() const {
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -50,17 +50,16 @@
 Awaitable<bool> NodeProcess::ReadWorkers(std::uint64_t term) {
   std::set<std::string> seen;
   const Millis sent = clock_.Now();
-  const auto version = co_await platform_.ReadAll(
-      platform::kWorkerEntryTable, "", kReadTimeout,
-      [this, term, &seen](const platform::StoreRow& row) {
-        if (!IsLeading(term)) return false;
-        seen.insert(row.key);
-        ApplyWorkerRow(row);
-        return true;
-      });
+  TableRead read;
+  read.table = platform::kWorkerEntryTable;
+  read.apply = [this, &seen](const platform::StoreRow& row) {
+    seen.insert(row.key);
+    ApplyWorkerRow(row);
+  };
+  read.may_continue = [this, term] { return IsLeading(term); };
+  const auto version = co_await ReadTable(platform_, std::move(read));
   if (!version) co_return false;
   workers_version_ = std::max(workers_version_, *version);
-  if (!IsLeading(term)) co_return false;
   std::vector<std::string> removed;
   for (const auto& [id, worker] : scheduler_.workers()) {
     if (!seen.contains(id)) removed.push_back(id);
@@ -107,8 +106,8 @@
   WatchAllWorkers(term);
   while (IsLeading(term)) {
     if (!read) {
-      read = co_await ReadWorkers(term);
-      if (!read) co_await kernel::Sleep(kRetryPause);
+      if (!co_await ReadWorkers(term)) co_return;
+      read = true;
       RequestPlan();
       continue;
     }
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -373,8 +373,7 @@
       .With("fence", fence_)
       .With("last_holder_stopped_in_ms", (stopped - lease_taken_).count);
   pool_.Spawn("commit", CommitLoop(term));
-  while (IsLeading(term) && !co_await Load(term)) co_await kernel::Sleep({50});
-  if (!IsLeading(term)) co_return;
+  if (!co_await Load(term)) co_return;
   loaded_ = true;
   LogLine(LogLevel::kInfo, "leading")
       .With("term", term)
@@ -388,13 +387,14 @@
 }
 
 Awaitable<bool> NodeProcess::LoadTable(std::uint64_t term, std::string table) {
-  const auto version = co_await platform_.ReadAll(
-      table, kPart, kReadTimeout,
-      [this, term, &table](const platform::StoreRow& row) {
-        if (!IsLeading(term)) return false;
-        LoadRow(table, row);
-        return true;
-      });
+  TableRead read;
+  read.table = table;
+  read.part = kPart;
+  read.apply = [this, table](const platform::StoreRow& row) {
+    LoadRow(table, row);
+  };
+  read.may_continue = [this, term] { return IsLeading(term); };
+  const auto version = co_await ReadTable(platform_, std::move(read));
   co_return version.has_value();
 }
 
@@ -426,9 +426,9 @@
       .With("key", row.key);
 }
 
-// Loads all persistent state. A retry starts from scratch.
+// Loads all persistent state; false if the lease was lost meanwhile. Only this
+// node writes these tables, so the pages form one state.
 Awaitable<bool> NodeProcess::Load(std::uint64_t term) {
-  scheduler_.BeginTerm(term, scheduler_.earlier_leases_expire_at());
   for (const char* it :
        {jobs::kJobTable, jobs::kProgressTable, jobs::kWorkerTable,
         jobs::kWaveTable, jobs::kOrderTable}) {
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -188,18 +188,14 @@
   co_return answer;
 }
 
-// Reads all rows of the operator table. Returns false if the store didn't
-// respond.
-Awaitable<bool> NodeProcess::ReadOperatorTable() {
-  const auto version =
-      co_await platform_.ReadAll(platform::kOperatorTable, "", kReadTimeout,
-                                 [this](const platform::StoreRow& row) {
-                                   ApplyOperatorRow(row);
-                                   return true;
-                                 });
-  if (!version) co_return false;
-  operator_version_ = std::max(operator_version_, *version);
-  co_return true;
+// Reads all rows of the operator table.
+Awaitable<void> NodeProcess::ReadOperatorTable() {
+  TableRead read;
+  read.table = platform::kOperatorTable;
+  read.apply = [this](const platform::StoreRow& row) { ApplyOperatorRow(row); };
+  read.may_continue = [] { return true; };
+  const auto version = co_await ReadTable(platform_, std::move(read));
+  operator_version_ = std::max(operator_version_, version.value_or(0));
 }
 
 void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row) {
@@ -248,8 +244,8 @@
   bool read = false;
   while (true) {
     if (!read) {
-      read = co_await ReadOperatorTable();
-      if (!read) co_await kernel::Sleep(kRetryPause);
+      co_await ReadOperatorTable();
+      read = true;
       continue;
     }
     auto page = co_await platform_.Changes(platform::kOperatorTable,
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -20,6 +20,7 @@
 #include "node/peer_table.h"
 #include "node/settings.h"
 #include "node/start_window.h"
+#include "node/table_read.h"
 #include "peer/transport.h"
 #include "platform/client.h"
 
@@ -35,10 +36,6 @@
 template <class T>
 using Awaitable = boost::asio::awaitable<T>;
 
-/// Timeout of one store read, which takes 4 ms, or 240 ms when the store is
-/// slowed down sixtyfold.
-inline constexpr Millis kReadTimeout{1500};
-
 /// Timeout of one transaction, which takes 0.65 s on a store that slow.
 inline constexpr Millis kCommitTimeout{1500};
 
@@ -95,7 +92,7 @@
  private:
   // Every node (process.cc).
   Awaitable<void> FollowOperatorTable();
-  Awaitable<bool> ReadOperatorTable();
+  Awaitable<void> ReadOperatorTable();
   void ApplyOperatorRow(const platform::StoreRow& row);
   Awaitable<void> Stop();
   void SetGauges();
--- a/tests/platform_reading_test.cc
+++ b/tests/platform_reading_test.cc
@@ -2,19 +2,21 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "blocking.h"
-#include "platform/client.h"
+#include "node/table_read.h"
 
-namespace hemlockward::platform {
+namespace hemlockward::node {
 namespace {
 
 using base::Millis;
 using kernel::HttpRequest;
 using kernel::HttpResponse;
+using platform::StoreRow;
 
 // A store with two pages. Each page is as of a later version.
 class ReadingTest : public ::testing::Test {
@@ -24,17 +26,7 @@
         http_(pool_),
         server_(
             pool_, "127.0.0.1:0", {},
-            [](HttpRequest request) -> boost::asio::awaitable<HttpResponse> {
-              const bool first =
-                  request.target.find("&from=") == std::string::npos;
-              co_return kernel::JsonResponse(
-                  200, first ? R"({"rows":[{"table":"t","part":"","key":"a",)"
-                               R"("value":"","ver":7}],"more_pages":true,)"
-                               R"("ver":10,"now_ms":1})"
-                             : R"({"rows":[{"table":"t","part":"","key":"b",)"
-                               R"("value":"","ver":12}],"more_pages":false,)"
-                               R"("ver":12,"now_ms":2})");
-            }),
+            [this](HttpRequest request) { return Serve(std::move(request)); }),
         address_("127.0.0.1:" + std::to_string(server_.port())),
         client_(http_, {address_, address_, ""}),
         thread_([this] { pool_.Run(); }) {}
@@ -43,26 +35,73 @@
     pool_.Stop();
   }
 
+  boost::asio::awaitable<HttpResponse> Serve(HttpRequest request) {
+    const int n = ++requests_;
+    const bool first = request.target.find("&from=") == std::string::npos;
+    if (!first) ++requests_of_second_page_;
+    if (!first && n <= lost_until_) {
+      HttpResponse lost;
+      lost.cut_after = 0;
+      lost.body = "{}";
+      co_return lost;
+    }
+    co_return kernel::JsonResponse(
+        200, first ? R"({"rows":[{"table":"t","part":"","key":"a",)"
+                     R"("value":"","ver":7}],"more_pages":true,)"
+                     R"("ver":10,"now_ms":1})"
+                   : R"({"rows":[{"table":"t","part":"","key":"b",)"
+                     R"("value":"","ver":12}],"more_pages":false,)"
+                     R"("ver":12,"now_ms":2})");
+  }
+
+  std::optional<std::uint64_t> Read() {
+    TableRead read;
+    read.table = "t";
+    read.apply = [this](const StoreRow& row) { keys_.push_back(row.key); };
+    read.may_continue = [this] {
+      return requests_of_second_page_ < given_up_after_;
+    };
+    return tests::RunBlocking(pool_, ReadTable(client_, std::move(read)));
+  }
+
+  std::atomic<int> requests_{0};
+  std::atomic<int> requests_of_second_page_{0};
+  int lost_until_ = 0;
+  int given_up_after_ = 1000;
+  std::vector<std::string> keys_;
   kernel::WorkerPool pool_;
   kernel::HttpClient http_;
   kernel::HttpServer server_;
   std::string address_;
-  PlatformClient client_;
+  platform::PlatformClient client_;
   std::jthread thread_;
 };
 
 // Row `a` may have changed at version 11, after its page was read.
 TEST_F(ReadingTest, ChangesAreFollowedFromTheFirstPage) {
-  std::vector<std::string> keys;
-  const auto version = tests::RunBlocking(
-      pool_, client_.ReadAll("t", "", Millis{2000}, [&](const StoreRow& row) {
-        keys.push_back(row.key);
-        return true;
-      }));
-  EXPECT_EQ(keys, (std::vector<std::string>{"a", "b"}));
+  const auto version = Read();
+  EXPECT_EQ(keys_, (std::vector<std::string>{"a", "b"}));
+  ASSERT_TRUE(version);
+  EXPECT_EQ(*version, 10U);
+}
+
+TEST_F(ReadingTest, OnlyAPageWithoutAnAnswerIsRequestedAgain) {
+  lost_until_ = 3;
+  const auto version = Read();
+  EXPECT_EQ(keys_, (std::vector<std::string>{"a", "b"}));
   ASSERT_TRUE(version);
   EXPECT_EQ(*version, 10U);
+  EXPECT_EQ(requests_, 4);
+}
+
+// The lease is lost while the second page has no answer.
+TEST_F(ReadingTest, ReadingStopsWhenItsCallerMustNotGoOn) {
+  lost_until_ = 1000;
+  given_up_after_ = 2;
+  EXPECT_FALSE(Read());
+  EXPECT_EQ(keys_, std::vector<std::string>{"a"});
+  EXPECT_EQ(requests_of_second_page_, 2);
 }
 
 }  // namespace
-}  // namespace hemlockward::platform
+}  // namespace hemlockward::node
