An undocumented error of the store doesn't count as a refusal

What callers would see: 503 ("not accepted, never runs") for a job that the store holds and the next leader runs (REFUSED); a job whose rows were withdrawn in memory though they are stored. Cause: every status but 409, 410, 412 and 429 counted as "nothing done", so the leader withdrew the jobs of a transaction that was answered 500, 502, 504 or 507 after it was applied. Moves and upkeeps of VMs likewise counted as refused. Class: an answer taken as "not applied" that was applied. Change: 429 and 503, and 400, 403 and 404 as refusals of the request itself, mean that nothing was done; any other status may follow a call that was carried out. A transaction is then sent again or read back, as after a lost answer.

--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -59,9 +59,9 @@
     std::shared_ptr<PendingCommit> pending) {
   const Millis sent = clock_.Now();
   auto result = co_await platform_.Commit(pending->transaction, kCommitTimeout);
-  const bool refused = !result &&
-                       result.error().failure != CallFailure::kUnknown &&
-                       result.error().failure != CallFailure::kConflict;
+  const bool refused =
+      !result && (result.error().failure == CallFailure::kNothingDone ||
+                  result.error().failure == CallFailure::kOverload);
   pending->sends.OnEnd(refused);
   pending->answers.push_back({std::move(result), clock_.Now() - sent});
   pending->answered.Notify();
--- /dev/null
+++ b/tests/platform_answers_test.cc
@@ -0,0 +1,82 @@
+// A transaction or an order that was carried out, but counts as refused, is
+// repeated or given up by its sender while its effect stays.
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "blocking.h"
+#include "platform/client.h"
+
+namespace hemlockward::platform {
+namespace {
+
+using base::Millis;
+using kernel::HttpRequest;
+using kernel::HttpResponse;
+
+constexpr Millis kTimeout{2000};
+
+// Answers each call with one status.
+class AnswersTest : public ::testing::Test {
+ protected:
+  AnswersTest()
+      : pool_(2),
+        http_(pool_),
+        server_(pool_, "127.0.0.1:0", {},
+                [this](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
+                  co_return kernel::JsonResponse(status_, "{}");
+                }),
+        address_("127.0.0.1:" + std::to_string(server_.port())),
+        client_(http_, {address_, address_, ""}),
+        thread_([this] { pool_.Run(); }) {}
+  ~AnswersTest() override {
+    server_.CloseIdle();
+    pool_.Stop();
+  }
+
+  CallFailure FailureOfCommit(int status) {
+    status_ = status;
+    const StoreTransaction transaction;
+    const auto result =
+        tests::RunBlocking(pool_, client_.Commit(transaction, kTimeout));
+    EXPECT_FALSE(result) << status;
+    return result ? CallFailure::kUnknown : result.error().failure;
+  }
+
+  CallFailure FailureOfMove(int status) {
+    status_ = status;
+    const Authority authority{"node", 7};
+    const auto result = tests::RunBlocking(
+        pool_, client_.Move(authority, "m", "pool", kTimeout, {}));
+    EXPECT_FALSE(result) << status;
+    return result ? CallFailure::kUnknown : result.error().failure;
+  }
+
+  std::atomic<int> status_{200};
+  kernel::WorkerPool pool_;
+  kernel::HttpClient http_;
+  kernel::HttpServer server_;
+  std::string address_;
+  PlatformClient client_;
+  std::jthread thread_;
+};
+
+// The store may have applied the transaction before it answered so.
+TEST_F(AnswersTest, OnlyADocumentedRefusalMeansThatNothingWasDone) {
+  for (const int it : {400, 403, 404, 503}) {
+    EXPECT_EQ(FailureOfCommit(it), CallFailure::kNothingDone) << it;
+    EXPECT_EQ(FailureOfMove(it), CallFailure::kNothingDone) << it;
+  }
+  for (const int it : {408, 500, 502, 504, 507}) {
+    EXPECT_EQ(FailureOfCommit(it), CallFailure::kUnknown) << it;
+    EXPECT_EQ(FailureOfMove(it), CallFailure::kUnknown) << it;
+  }
+  EXPECT_EQ(FailureOfCommit(429), CallFailure::kOverload);
+  EXPECT_EQ(FailureOfMove(429), CallFailure::kOverload);
+  EXPECT_EQ(FailureOfCommit(412), CallFailure::kConflict);
+}
+
+}  // namespace
+}  // namespace hemlockward::platform
