A start that was answered with an undocumented error may have started

What callers would see: two runs of one task (TWICE), when a worker, or whatever stands before it, answers 500, 502 or 504 to a start that it carried out: the task was started elsewhere at once. Cause: every status but 409 and 421 counted as refused. Class: an answer taken as "not applied" that was applied, as with the store's transactions.

No functional change

--- a/tests/platform_answers_test.cc
+++ b/tests/platform_answers_test.cc
@@ -54,6 +54,18 @@
     return result ? CallFailure::kUnknown : result.error().failure;
   }
 
+  jobs::StartAnswer AnswerOfStart(int status) {
+    status_ = status;
+    jobs::WorkerEntry worker;
+    worker.id = "w";
+    worker.address = address_;
+    StartRequest request;
+    request.task = {"job", 0, 0, 0};
+    OrderReply reply;
+    return tests::RunBlocking(
+        pool_, client_.Start(worker, request, kTimeout, &reply, {}));
+  }
+
   std::atomic<int> status_{200};
   kernel::WorkerPool pool_;
   kernel::HttpClient http_;
@@ -78,5 +90,19 @@
   EXPECT_EQ(FailureOfCommit(412), CallFailure::kConflict);
 }
 
+// The run may be there, so the task must not start elsewhere at once.
+TEST_F(AnswersTest, StartWithAnUndocumentedAnswerMayHaveStarted) {
+  using jobs::StartAnswer;
+  EXPECT_EQ(AnswerOfStart(200), StartAnswer::kStarted);
+  EXPECT_EQ(AnswerOfStart(421), StartAnswer::kOtherIncarnation);
+  EXPECT_EQ(AnswerOfStart(409), StartAnswer::kNoCapacity);
+  for (const int it : {400, 403, 404, 429, 503}) {
+    EXPECT_EQ(AnswerOfStart(it), StartAnswer::kRefused) << it;
+  }
+  for (const int it : {408, 500, 502, 504, 507}) {
+    EXPECT_EQ(AnswerOfStart(it), StartAnswer::kUnknown) << it;
+  }
+}
+
 }  // namespace
 }  // namespace hemlockward::platform
