A job isn't refused after an error of the leader that may have run it

What callers would see: 503 ("not accepted, never runs") for a job that the leader had taken in before its handler threw, and which it stores and runs (REFUSED). Cause: the leader answers a forwarded call with an error message when its handler throws. The follower took any message without a reply to the call as "this node doesn't lead", tried again and could answer 503. Class: an answer taken as "not applied" that was applied. Evidence, on the code before, of ForwardTest: JobIsNotAnswered503AfterErrorsOnly and JobIsNotAnswered503AfterAnErrorOfTheLeader: "Submit() Which is: 503, 504". Change: such a message leaves a line forward_failed and counts as a call that may have run, as a broken connection or an unreadable reply did already. Measured: node_forward_test passes 7 of 7 runs; node_*, peer_transport_test, system_node and system_deposed_leader pass. No leader was seen to throw.

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -104,8 +104,8 @@
   co_return Refused(503, "no leader");
 }
 
-// Returns status 0 if no response came; `may_have_run` is then true if the
-// request may have been executed.
+// Returns status 0 if no reply came; `may_have_run` is then true if the request
+// may have been executed.
 Awaitable<Reply> NodeProcess::Forward(const Call& call, bool* may_have_run) {
   Reply reply;
   reply.status = 0;
@@ -147,7 +147,15 @@
     check_signal_.Notify();
     co_return reply;
   }
-  if (!answer->__isset.job_reply) co_return reply;
+  if (!answer->__isset.job_reply) {
+    LogLine(LogLevel::kWarning, "forward_failed")
+        .With("path", call.path)
+        .With("method", call.method)
+        .With("leader", address)
+        .With("error", answer->error.reason);
+    *may_have_run = true;
+    co_return reply;
+  }
   const bool same_holder = lease_.lease && lease_.lease->address == address;
   if (same_holder && answer->job_reply.status != 0) {
     holder_heard_ = clock_.Now();
