A holder before the last one counts when the lease is taken

What callers would see: two runs of one task (TWICE), or VM orders of two holders within the turn (ONE). A leader that is cut off from the store sends orders for up to 4 s after its last renewal, its successor takes the lease after 1.3 s or less. The successor knew how long to wait, but the next holder didn't: - the answer to the takeover is lost: the node finds its own row, counts the lease as free and its holder as ended, and took the present for the end of all orders, 2.5 s too early in the test; - the successor stops soon and releases the lease: the next one took the present as well, and as the one between had ordered no VM, it ordered VMs at once. Class: an answer taken as "not applied" that was applied; memory taken as the whole truth. Change: the lease row says, by the store's clock, until when earlier holders may send orders and from when VMs may be ordered. The next holder takes the later of these and its own bounds; rows without them are read as before. The estimate of the store's clock may lag, so 0.6 s are added, once for each holder that was observed.

--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -131,9 +131,9 @@
       {kLeaseTable, kHeartbeatKey, heartbeat_version_});
   transaction.writes.push_back({kLeaseTable, kHeartbeatKey, heartbeat});
   if (release) {
-    const LeaseRow row{settings_.name, settings_.peer,
-                       incarnation_,   term_,
-                       true,           clock_.Now() - last_vm_order_};
+    LeaseRow row = own_lease_;
+    row.released = true;
+    row.vm_order_age = clock_.Now() - last_vm_order_;
     transaction.writes.push_back({kLeaseTable, kLeaseKey, EncodeLease(row)});
   }
   return transaction;
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -37,9 +37,6 @@
 /// Random delay of a candidate, so that usually only one tries to take the
 /// lease.
 constexpr std::int64_t kMaxJitterMs = 60;
-/// A heartbeat's time may lag by one slow response of the store (0.55 s at 1/60
-/// of its speed), because the holder learns the store's clock from responses.
-constexpr Millis kHeartbeatTimeSlack{600};
 /// An estimate of the store's clock is replaced unconditionally after this
 /// time, in which steady clocks drift apart by far less than a millisecond.
 constexpr Millis kStoreTimeMaxAge = base::Seconds(10);
@@ -302,33 +299,14 @@
 
 Awaitable<void> NodeProcess::TakeLease(const LeaseView& view,
                                        std::int64_t store_ms) {
-  // `stopped` below: when the last holder sent its last order, by this node's
-  // clock.
-  const Millis seen = clock_.Now();
-  const bool first = !view.lease;
-  const bool ended = first || view.lease->released || holder_stopped_ ||
-                     view.lease->incarnation == incarnation_;
-  // Upper bound of the time when the newest renewal was sent.
-  Millis renewed = heartbeat_monitor_.renewed_before();
-  if (const auto heartbeat = ParseHeartbeatTime(view.heartbeat);
-      heartbeat && store_ms > *heartbeat) {
-    renewed = std::min(
-        renewed, seen - Millis{store_ms - *heartbeat} + kHeartbeatTimeSlack);
-  }
-  const Millis stopped = ended ? std::min(seen, renewed + kOrderValidity)
-                               : renewed + kOrderValidity;
-  Millis vm_orders_from = seen + settings_.machine_turn;
-  if (first) {
-    vm_orders_from = seen;
-  } else if (view.lease->released) {
-    vm_orders_from = vm_orders_from - view.lease->vm_order_age;
-  } else if (!ended) {
-    vm_orders_from =
-        std::max(seen, heartbeat_monitor_.renewed_before() + kVmOrderValidity) +
-        settings_.machine_turn;
-  }
+  const Takeover takeover{
+      incarnation_, holder_stopped_, heartbeat_monitor_.renewed_before(),
+      clock_.Now(), store_ms,        settings_.machine_turn};
+  const EarlierHolders earlier = BoundEarlierHolders(view, takeover);
   const std::uint64_t term = view.lease ? view.lease->term + 1 : 0;
-  const LeaseRow row{settings_.name, settings_.peer, incarnation_, term};
+  LeaseRow row{settings_.name, settings_.peer, incarnation_, term};
+  row.earlier_orders_end_ms = earlier.orders_end_ms;
+  row.vm_orders_from_ms = earlier.vm_orders_from_ms;
   platform::StoreTransaction transaction;
   transaction.part = kPart;
   transaction.conditions.push_back(
@@ -359,19 +337,21 @@
   heartbeat_number_ = 0;
   renewed_ = sent;
   lease_taken_ = clock_.Now();
-  lease_.lease = row;
+  lease_.lease = own_lease_ = row;
   lease_.lease_version = version->version;
   const Millis given = jobs::LongestLease({settings_.worker_lease});
   const Millis lease = std::min(settings_.longest_lease, given) + kLeaseSlack;
-  scheduler_.BeginTerm(term, std::max(stopped, renewed) + lease);
+  scheduler_.BeginTerm(term,
+                       std::max(earlier.orders_end, earlier.renewed) + lease);
   scheduler_.SetConfiguration(config_);
-  fleet_.BeginTerm(vm_orders_from, lease_taken_);
+  fleet_.BeginTerm(earlier.vm_orders_from, lease_taken_);
   written_wave_states_.clear();
   metrics_.Count("hemlockward_takeovers_total");
   LogLine(LogLevel::kInfo, "lease_taken")
       .With("term", term)
       .With("fence", fence_)
-      .With("last_holder_stopped_in_ms", (stopped - lease_taken_).count);
+      .With("last_holder_stopped_in_ms",
+            (earlier.orders_end - lease_taken_).count);
   pool_.Spawn("commit", CommitLoop(term));
   if (!co_await Load(term)) co_return;
   loaded_ = true;
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -20,7 +20,9 @@
                    {"incarnation", std::to_string(row.incarnation)},
                    {"term", row.term},
                    {"released", row.released},
-                   {"machine_order_age", row.vm_order_age.count}});
+                   {"machine_order_age", row.vm_order_age.count},
+                   {"earlier_orders_end", row.earlier_orders_end_ms},
+                   {"machine_orders_from", row.vm_orders_from_ms}});
 }
 
 std::optional<LeaseRow> DecodeLease(std::string_view text) {
@@ -46,8 +48,13 @@
   row.term = term->to_number<std::uint64_t>(ec);
   if (ec) return std::nullopt;
   row.released = released->get_bool();
-  const json::value* age = object.if_contains("machine_order_age");
-  if (age && age->is_int64()) row.vm_order_age = {age->get_int64()};
+  const auto integer = [&object](std::string_view name) {
+    const json::value* it = object.if_contains(name);
+    return it && it->is_int64() ? it->get_int64() : 0;
+  };
+  row.vm_order_age = {integer("machine_order_age")};
+  row.earlier_orders_end_ms = integer("earlier_orders_end");
+  row.vm_orders_from_ms = integer("machine_orders_from");
   return row;
 }
 
@@ -106,6 +113,11 @@
 constexpr double kStepCpuShare = 0.05;
 constexpr double kStepLinkMbps = 12.5;
 
+/// A time by the store's clock may lag by one slow response of the store (0.55
+/// s at 1/60 of its speed), because nodes learn the store's clock from
+/// responses.
+constexpr Millis kHeartbeatTimeSlack{600};
+
 bool HasStrongerNode(std::span<const Candidate> peers, int strength) {
   return std::any_of(
       peers.begin(), peers.end(),
@@ -160,6 +172,51 @@
   return !since_last || *since_last >= kMinHandoverInterval;
 }
 
+EarlierHolders BoundEarlierHolders(const LeaseView& view,
+                                   const Takeover& takeover) {
+  const Millis now = takeover.now;
+  const bool first = !view.lease;
+  const bool released = view.lease && view.lease->released;
+  const bool ended = first || released || takeover.holder_stopped ||
+                     view.lease->incarnation == takeover.incarnation;
+  EarlierHolders earlier;
+  earlier.renewed = takeover.renewed_before;
+  if (const auto heartbeat = ParseHeartbeatTime(view.heartbeat);
+      heartbeat && takeover.store_ms > *heartbeat) {
+    const Millis age{takeover.store_ms - *heartbeat};
+    earlier.renewed =
+        std::min(earlier.renewed, now - age + kHeartbeatTimeSlack);
+  }
+  earlier.orders_end = earlier.renewed + kOrderValidity;
+  if (ended) earlier.orders_end = std::min(now, earlier.orders_end);
+  earlier.vm_orders_from = now + takeover.machine_turn;
+  if (first) {
+    earlier.vm_orders_from = now;
+  } else if (released) {
+    earlier.vm_orders_from = earlier.vm_orders_from - view.lease->vm_order_age;
+  } else if (!ended) {
+    earlier.vm_orders_from =
+        std::max(now, takeover.renewed_before + kVmOrderValidity) +
+        takeover.machine_turn;
+  }
+  if (takeover.store_ms <= 0) return earlier;
+  // Holders before the last one may still act, on what the last one knew.
+  const auto bound = [&](Millis& time, std::int64_t known_ms) {
+    const Millis lag = kHeartbeatTimeSlack;
+    const std::int64_t own_ms = takeover.store_ms + (time + lag - now).count;
+    if (known_ms > 0) {
+      time = std::max(time, now + Millis{known_ms - takeover.store_ms});
+    }
+    return std::max(known_ms, own_ms);
+  };
+  const LeaseRow known = view.lease.value_or(LeaseRow{});
+  earlier.orders_end_ms =
+      bound(earlier.orders_end, known.earlier_orders_end_ms);
+  earlier.vm_orders_from_ms =
+      bound(earlier.vm_orders_from, known.vm_orders_from_ms);
+  return earlier;
+}
+
 Millis RequiredSilence(bool holder_stalls, Millis reading, Millis wait) {
   const Millis least =
       holder_stalls ? kStalledHolderSilence : kHolderSilenceLimit;
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -73,6 +73,10 @@
   bool released = false;
   /// Time from the last VM order to the release; valid when released.
   Millis vm_order_age{0};
+  /// What the holder knew of earlier ones when it took the lease
+  /// (`EarlierHolders`), by the store's clock in ms; 0: not known.
+  std::int64_t earlier_orders_end_ms = 0;
+  std::int64_t vm_orders_from_ms = 0;
 };
 
 std::string EncodeLease(const LeaseRow& row);
@@ -152,6 +156,32 @@
 /// read.
 Millis RequiredSilence(bool holder_stalls, Millis reading, Millis wait);
 
+/// A candidate and what it knows when it takes the lease.
+struct Takeover {
+  std::uint64_t incarnation = 0;
+  /// The last holder is known to send no more orders.
+  bool holder_stopped = false;
+  /// The last holder's newest renewal was sent before this.
+  Millis renewed_before{0};
+  Millis now{0};
+  std::int64_t store_ms = 0;  ///< The store's clock, at `now` or before.
+  /// Minimum time between VM orders of two holders.
+  Millis machine_turn{0};
+};
+
+/// Bounds on the orders of all earlier holders, by the candidate's clock.
+struct EarlierHolders {
+  Millis renewed{0};         ///< Their newest renewal was sent before this.
+  Millis orders_end{0};      ///< They send no orders after this.
+  Millis vm_orders_from{0};  ///< From then on the next holder may order VMs.
+  /// The last two by the store's clock, for the new holder's row.
+  std::int64_t orders_end_ms = 0;
+  std::int64_t vm_orders_from_ms = 0;
+};
+
+EarlierHolders BoundEarlierHolders(const LeaseView& view,
+                                   const Takeover& takeover);
+
 /// Detects a holder that no longer renews the lease.
 class HeartbeatMonitor {
  public:
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -227,6 +227,7 @@
 
   // Leadership.
   LeaseView lease_;
+  LeaseRow own_lease_;  ///< As written when this node took the lease.
   HeartbeatMonitor heartbeat_monitor_;
   bool holder_gone_ = false;          ///< The holder appears to lead no longer.
   Millis holder_heard_{0};            ///< When it last reported that it leads.
--- a/tests/node_forward_test.cc
+++ b/tests/node_forward_test.cc
@@ -35,8 +35,8 @@
 
 std::string FreeAddress() {
   asio::io_context context;
-  const asio::ip::tcp::acceptor acceptor(
-      context, {asio::ip::address_v4::loopback(), 0});
+  const asio::ip::tcp::acceptor acceptor(context,
+                                         {asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
--- a/tests/node_lease_test.cc
+++ b/tests/node_lease_test.cc
@@ -46,6 +46,79 @@
   }
 }
 
+LeaseView LeaseOf(const LeaseRow& row) {
+  LeaseView view;
+  view.lease = row;
+  return view;
+}
+
+constexpr std::uint64_t kCandidate = 2;
+constexpr Millis kTurn{3000};
+
+// The last holder is silent, cut off from the store, and may send orders until
+// its renewal is too old.
+Takeover FromSilentHolder() {
+  return {kCandidate, false, Millis{1000}, Millis{2300}, 50'000, kTurn};
+}
+
+// The store's clock is 47.7 s ahead.
+LeaseRow RowOfTakeover(const Takeover& takeover) {
+  const LeaseView view = LeaseOf({"n1", "10.0.0.1:1", 1, 3});
+  LeaseRow row{"n2", "10.0.0.2:1", kCandidate, 4};
+  const EarlierHolders earlier = BoundEarlierHolders(view, takeover);
+  row.earlier_orders_end_ms = earlier.orders_end_ms;
+  row.vm_orders_from_ms = earlier.vm_orders_from_ms;
+  const auto back = DecodeLease(EncodeLease(row));
+  return back.value_or(LeaseRow{});
+}
+
+// The answers to all attempts but the last are lost; the row shows this node.
+TEST(LeaseTest, EarlierHolderCountsWhenTheLeaseIsTakenAgain) {
+  Takeover takeover = FromSilentHolder();
+  const auto first =
+      BoundEarlierHolders(LeaseOf({"n1", "10.0.0.1:1", 1, 3}), takeover);
+  EXPECT_EQ(first.orders_end, Millis{1000} + kOrderValidity);
+  LeaseRow row = RowOfTakeover(takeover);
+  for (int i = 0; i < 10; ++i) {
+    takeover.now = takeover.renewed_before = takeover.now + Millis{200};
+    takeover.store_ms += 200;
+    const auto again = BoundEarlierHolders(LeaseOf(row), takeover);
+    EXPECT_GE(again.orders_end, first.orders_end);
+    EXPECT_LE(again.orders_end, first.orders_end + base::Seconds(1));
+    EXPECT_GE(again.vm_orders_from, first.vm_orders_from);
+    row.earlier_orders_end_ms = again.orders_end_ms;
+    row.vm_orders_from_ms = again.vm_orders_from_ms;
+  }
+}
+
+// Another node takes the lease right after the one between has released it.
+TEST(LeaseTest, EarlierHolderCountsWhenTheLeaseWasReleasedSoonAfter) {
+  const Takeover takeover = FromSilentHolder();
+  const auto first =
+      BoundEarlierHolders(LeaseOf({"n1", "10.0.0.1:1", 1, 3}), takeover);
+  LeaseRow row = RowOfTakeover(takeover);
+  row.released = true;
+  row.vm_order_age = base::Seconds(1000);  // It has sent none.
+  const Millis clocks{100'000};            // This node's clock is ahead.
+  Takeover next{3, false, {}, {}, takeover.store_ms + 300, kTurn};
+  next.now = next.renewed_before = takeover.now + Millis{300} + clocks;
+  const auto second = BoundEarlierHolders(LeaseOf(row), next);
+  EXPECT_GE(second.orders_end, first.orders_end + clocks);
+  EXPECT_GE(second.vm_orders_from, first.vm_orders_from + clocks);
+}
+
+// The row between the two is years old: nothing is awaited.
+TEST(LeaseTest, EarlierHolderOfLongAgoDelaysNothing) {
+  LeaseRow row = RowOfTakeover(FromSilentHolder());
+  row.released = true;
+  row.vm_order_age = base::Seconds(1000);
+  Takeover next{3, false, {}, {}, 1'000'000, kTurn};
+  next.now = next.renewed_before = Millis{500'000};
+  const auto earlier = BoundEarlierHolders(LeaseOf(row), next);
+  EXPECT_EQ(earlier.orders_end, next.now);
+  EXPECT_LE(earlier.vm_orders_from, next.now);
+}
+
 TEST(LeaseTest, UnchangedHeartbeatCountsOnlyWhileTheStoreIsReadable) {
   HeartbeatMonitor watch;
   Millis now{1000};
