A job that may have run isn't answered 404

What callers would see: 404 for a job that an earlier attempt of the same request had handed in, and that runs (REFUSED), when its queue is removed between the two. Cause: only 503 and 429 were turned into 504 after an attempt without a reply. Evidence: ForwardTest.JobThatMayHaveRunIsNotAnswered404 failed before: "Submit() Which is: 404, 504". Change: 404 is turned into 504 as well; the client's next attempt tells. Measured: node_forward_test passes.

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -83,7 +83,8 @@
     }
     if (reply.status != 0) {
       // An earlier attempt without a response may have submitted the job.
-      const bool refused = reply.status == 503 || reply.status == 429;
+      const bool refused =
+          reply.status == 503 || reply.status == 429 || reply.status == 404;
       if (refused && may_have_run && call.method == "POST") reply.status = 504;
       co_return reply;
     }
--- a/tests/node_forward_test.cc
+++ b/tests/node_forward_test.cc
@@ -174,6 +174,14 @@
   EXPECT_EQ(Submit(), 504);
 }
 
+// Its queue was removed after the first attempt, which may have been accepted.
+TEST_F(ForwardTest, JobThatMayHaveRunIsNotAnswered404) {
+  on_job_call_ = [](int n) {
+    return n == 1 ? peer::ErrorMessage("out of memory") : JobReply(404);
+  };
+  EXPECT_EQ(Submit(), 504);
+}
+
 TEST_F(ForwardTest, JobIsNotAnswered503AfterErrorsOnly) {
   on_job_call_ = [](int) { return peer::ErrorMessage("out of memory"); };
   EXPECT_EQ(Submit(), 504);
