A start without an answer is no proof against its task

What callers would see: a job shown as `failed` whose task only one worker or none has started (LOST): its starts were sent to workers that had crashed just before, three times. Cause: each run of a worker that is replaced counted as a known crash of its task, also one that the worker had never confirmed. Evidence: CrashTest.TaskSentToWorkersThatHadCrashedIsNotGivenUp failed before: scheduler_.FindJob("a")->state Which is: 1-byte object <03> (failed), expected JobState::kPending Change: a lost run keeps whether its worker confirmed it.

--- a/src/jobs/crash_history.cc
+++ b/src/jobs/crash_history.cc
@@ -13,8 +13,11 @@
 /// Losses after which it is given up whatever ran beside it: each one costs a
 /// worker.
 constexpr std::size_t kMaxLosses = 4;
-/// Known crashes without which no task is given up.
+/// Known crashes of workers that had started it, without which no task is given
+/// up.
 constexpr int kCrashesToGiveUp = 2;
+/// Known crashes after which it is given up even if no start was answered.
+constexpr int kMaxCrashes = 5;
 
 }  // namespace
 
@@ -71,7 +74,11 @@
 }
 
 bool CrashHistory::ShouldGiveUp(bool alone) const {
-  if (crashed_workers() < kCrashesToGiveUp) return false;
+  if (crashed_workers() >= kMaxCrashes) return true;
+  const auto crashes =
+      std::count_if(lost_runs.begin(), lost_runs.end(),
+                    [](const LostRun& it) { return it.crashed && it.started; });
+  if (crashes < kCrashesToGiveUp) return false;
   return lost_runs.size() >= (alone ? kLossesToGiveUp : kMaxLosses);
 }
 
--- a/src/jobs/crash_history.h
+++ b/src/jobs/crash_history.h
@@ -30,6 +30,8 @@
   int run = 0;
   std::string worker;
   bool crashed = false;  ///< The worker is known to have crashed.
+  /// False if the start was never answered: the worker may have crashed before.
+  bool started = true;
 };
 
 /// Runs of a task that were lost with their workers.
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -91,6 +91,16 @@
   return true;
 }
 
+bool MarkUnanswered(const json::value& value, Task& task) {
+  boost::system::error_code ec;
+  const int run = value.to_number<int>(ec);
+  if (ec) return false;
+  for (LostRun& it : task.crashes.lost_runs) {
+    if (it.run == run) it.started = false;
+  }
+  return true;
+}
+
 // Reads a row [occurrence, step, index, [run...]] and passes each run to `add`
 // with its task.
 bool ApplyRuns(const json::value& value, Job& job,
@@ -166,6 +176,7 @@
   json::array done;
   json::array failed;
   json::array lost;
+  json::array unanswered;
   for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
     for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
       const Step& step = job.occurrences[k].steps[s];
@@ -182,10 +193,13 @@
         add(failed,
             json::array(task.failed_runs.begin(), task.failed_runs.end()));
         json::array lost_runs;
+        json::array unanswered_runs;
         for (const LostRun& it : task.crashes.RunsToStore()) {
           lost_runs.push_back(json::array{it.run, it.worker, it.crashed});
+          if (!it.started) unanswered_runs.push_back(it.run);
         }
         add(lost, std::move(lost_runs));
+        add(unanswered, std::move(unanswered_runs));
       }
       if (step.done > 0) done.push_back(json::array{k, s, marks});
     }
@@ -193,6 +207,7 @@
   row["done"] = std::move(done);
   if (!failed.empty()) row["failed"] = std::move(failed);
   if (!lost.empty()) row["lost"] = std::move(lost);
+  if (!unanswered.empty()) row["unanswered"] = std::move(unanswered);
   return json::serialize(row);
 }
 
@@ -213,8 +228,12 @@
   const auto lost = [&job](const auto& it) {
     return ApplyRuns(it, job, AddLostRun);
   };
+  const auto unanswered = [&job](const auto& it) {
+    return ApplyRuns(it, job, MarkUnanswered);
+  };
   return ApplyEach(*row, "done", done) && ApplyEach(*row, "failed", failed) &&
-         ApplyEach(*row, "lost", lost);
+         ApplyEach(*row, "lost", lost) &&
+         ApplyEach(*row, "unanswered", unanswered);
 }
 
 std::string EncodeWorkerRow(const Worker& worker) {
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -186,7 +186,7 @@
   Task& task = TaskOf(job, run.task);
   if (HasEnded(job.state) || task.done) return;
   const bool crashed = loss == WorkerLoss::kCrashed;
-  if (!task.crashes.Add({run.number, worker, crashed})) return;
+  if (!task.crashes.Add({run.number, worker, crashed, run.started})) return;
   task.crashes.changed_at = ++job.crash_changes;
   unsaved_jobs_.insert(&job);
   if (!crashed) {
@@ -198,6 +198,7 @@
       .With("run", run.number)
       .With("losses", task.crashes.lost_runs.size())
       .With("how", crashed ? "crash" : "out_of_reach")
+      .With("started", run.started)
       .With("alone", alone);
   GiveUpIfDeadly(job, run.task, alone && crashed, now);
 }
@@ -294,6 +295,7 @@
   Run& run = it->second;
   if (answer == StartAnswer::kStarted) {
     run.phase = RunPhase::kRunning;
+    run.started = true;
     run.settled_from = run.progress_at = now;
     MarkStarted(*run.job);
     return;
@@ -423,6 +425,7 @@
     run.phase = RunPhase::kRunning;
     run.settled_from = sent;
   }
+  run.started = true;
   run.worker_crashed = false;
   Task& task = TaskOf(*run.job, run.task);
   task.last_run = std::max(task.last_run, active.run);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -110,6 +110,7 @@
   int number = 0;
   RunPhase phase = RunPhase::kSent;
   Resources need;
+  bool started = false;  ///< The worker has confirmed it.
   Millis sent{0};
   /// A report requested after this millisecond lists the run if it exists.
   Millis settled_from{0};
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -83,6 +83,24 @@
     Restart(scheduler_.workers().at(worker).entry.vm);
   }
 
+  // Starts the task of the only job again and again. Each worker crashes before
+  // it answers the start. Returns the number of starts.
+  int CrashBeforeAnswers(int max_starts) {
+    int starts = 0;
+    while (starts < max_starts) {
+      Orders orders;
+      for (const Millis end = now_ + base::Seconds(3);
+           orders.starts.empty() && now_ < end; Commit()) {
+        orders = Plan(Millis{200});
+      }
+      if (orders.starts.empty()) break;
+      ++starts;
+      scheduler_.OnStart(orders.starts[0], StartAnswer::kUnknown, now_);
+      Crash(orders.starts[0].worker);
+    }
+    return starts;
+  }
+
   void SubmitGang(const std::string& job) {
     StepSpec step = Step(4, 1000);
     step.gang = true;
@@ -310,6 +328,21 @@
   }
 }
 
+TEST_F(CrashTest, TaskSentToWorkersThatHadCrashedIsNotGivenUp) {
+  AddVms(6);
+  Submit("a", OneStep(Step(1, 1000)));
+  EXPECT_EQ(CrashBeforeAnswers(4), 4);
+  EXPECT_EQ(scheduler_.FindJob("a")->state, JobState::kPending);
+}
+
+TEST_F(CrashTest, TaskThatCrashesWorkersBeforeTheyAnswerIsGivenUp) {
+  constexpr int kMaxStarts = 5;
+  AddVms(6);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  EXPECT_LE(CrashBeforeAnswers(10), kMaxStarts);
+  EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
+}
+
 TEST_F(CrashTest, CrashSeenAfterATakeoverCounts) {
   AddVms(4);
   Submit("a", OneStep(Step(1, 1000)));
--- a/tests/jobs_rows_test.cc
+++ b/tests/jobs_rows_test.cc
@@ -28,6 +28,7 @@
                          R"({"state":"running","failed":[[0,0,"x",[1]]]})",
                          R"({"state":"running","failed":[[0,0,0,["x"]]]})",
                          R"({"state":"running","failed":[[0,0,9,[1]]]})",
+                         R"({"state":"running","unanswered":[[0,0,0,["x"]]]})",
                          R"({"state":"running","lost":[[0,0,0,[1]]]})",
                          R"({"state":"running","lost":[[0,0,0,[[1,2,3]]]]})",
                          R"({"state":"running","lost":[[0,0,0,[[1,"w"]]]]})"}) {
@@ -64,7 +65,7 @@
 TEST(RowsTest, LostRunsAreReadAsWritten) {
   Job job = JobWithProgress();
   CrashHistory& crashes = job.occurrences[0].steps[0].tasks[2].crashes;
-  crashes.lost_runs = {{1, "w1", true}, {2, "w2", false}};
+  crashes.lost_runs = {{1, "w1", true, false}, {2, "w2", false}};
   crashes.announced_run = 3;
   crashes.announced_worker = "w3";
   Job read = JobWithProgress();
@@ -75,6 +76,7 @@
     EXPECT_EQ(runs[i].run, i + 1);
     EXPECT_EQ(runs[i].worker, "w" + std::to_string(i + 1));
     EXPECT_EQ(runs[i].crashed, i == 0);
+    EXPECT_EQ(runs[i].started, i > 0);
   }
 }
 
@@ -84,7 +86,7 @@
   step.tasks[1].done = true;
   step.done = 1;
   step.tasks[2].failed_runs = {1, 2};
-  step.tasks[3].crashes.lost_runs = {{1, "w", true}};
+  step.tasks[3].crashes.lost_runs = {{1, "w", true, false}};
   std::string row = EncodeProgressRow(job);
   const auto changes = *rc::gen::inRange(1, 4);
   for (int i = 0; i < changes; ++i) {
