A worker of a full pool is kept free for a task that must run alone

What callers would see: a sound job that lost workers beside a deadly task twice has no run as long as its pool stays full and has no spare VM: in the test for 6 s of a pool with a backlog, without an end in sight. Cause: a task that must run alone starts only on a worker without other runs, and whatever room a run left was filled by the next task. Its job turns late, and late jobs are planned last, so it lost each time. One worker at a time per pool is vacated for single tasks. A task of the step that finds no room no longer ends the plan for the suspects behind it, and the list of needs without room doesn't hold for a job that a worker is kept free for.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -22,9 +22,6 @@
 // value.
 constexpr Millis kPaceInterval{500};
 constexpr int kPaceStep = 20;
-// A task that must run alone waits this long for a worker without any runs.
-// Then it shares one with long-running tasks, which a crash would interrupt.
-constexpr Millis kEmptyWorkerWait = base::Seconds(2);
 // Once its lease has run out, a crashed worker has been replaced; the store
 // lists the new one within 2 s of its own return.
 constexpr Millis kEvidenceWait = base::Seconds(2);
@@ -151,8 +148,13 @@
   if (step.fills) need.cpu_milli = 0;
   if (!need.Fits(FreeResources(worker))) return false;
   if (worker.lone_runs > 0 && !IsAlone(worker, job)) return false;
-  if (task.crashes.suspicion() == Suspicion::kRunAlone) {
-    const bool waited = now - task.idle_since > kEmptyWorkerWait;
+  const bool must_be_alone = task.crashes.suspicion() == Suspicion::kRunAlone;
+  if (now < worker.kept_free_until && !must_be_alone &&
+      worker.kept_free_for != job.id) {
+    return false;
+  }
+  if (must_be_alone) {
+    const bool waited = HasWaitedForAnEmptyWorker(task, now);
     if (waited ? !IsAlone(worker, job) : !HasOnlyRunsOf(worker, job)) {
       return false;
     }
@@ -222,15 +224,19 @@
   const StepSpec& step = job.spec.steps[id.step];
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
+  const Task& task =
+      job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+  const Suspicion suspicion = task.crashes.suspicion();
+  // A worker may be kept free for this task.
+  const bool kept_free =
+      suspicion == Suspicion::kRunAlone || pool.kept_free_for.contains(job.id);
   const bool unplaceable =
+      !kept_free &&
       std::any_of(pool.unplaceable.begin(), pool.unplaceable.end(),
                   [&need](const Resources& it) { return it.Fits(need); });
   if (unplaceable) return nullptr;
-  const Task& task =
-      job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
   const bool needs_name = queue.needs_tickets || step.max_per_worker > 0;
   const std::string name = needs_name ? id.StepName() : std::string();
-  const Suspicion suspicion = task.crashes.suspicion();
   // Another leader may have to learn what became of this worker.
   const std::string* announced_on =
       suspicion != Suspicion::kNone && task.crashes.announced_run != 0
@@ -280,25 +286,13 @@
   return nullptr;
 }
 
-bool Scheduler::AnnounceRun(Job& job, Task& task, int number,
-                            const std::string& worker) {
-  CrashHistory& crashes = task.crashes;
-  if (crashes.empty()) return true;
-  if (crashes.announced_worker != worker) {
-    crashes.announced_worker = worker;
-    unsaved_jobs_.insert(&job);
-  }
-  if (crashes.announced_run == number) return true;
-  crashes.announced_run = number;
-  crashes.changed_at = ++job.crash_changes;
-  unsaved_jobs_.insert(&job);
-  return false;
-}
-
 bool Scheduler::StartTask(Job& job, const Queue& queue, const TaskId& id,
                           int number, Pool& pool, Orders& orders, Millis now) {
   Worker* worker = ChooseWorker(job, queue, id, pool, orders, now);
-  if (!worker) return false;
+  if (!worker) {
+    KeepFree(job, id, 1, pool, now);
+    return false;
+  }
   Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
   if (!AnnounceRun(job, task, number, worker->entry.id)) return false;
   AddStart(job, queue, id, number, *worker, pool, orders, now);
@@ -364,6 +358,16 @@
   }
   // The gang's workers have room again.
   pool.unplaceable.clear();
+  if (complete) return false;
+  const auto lone =
+      std::find_if(state.tasks.begin(), state.tasks.end(), [](const Task& it) {
+        return it.crashes.suspicion() == Suspicion::kRunAlone;
+      });
+  if (lone != state.tasks.end()) {
+    const auto index = static_cast<int>(lone - state.tasks.begin());
+    KeepFree(job, {job.id, occurrence, step, index},
+             static_cast<int>(state.tasks.size()), pool, now);
+  }
   return false;
 }
 
@@ -387,18 +391,20 @@
         all = PlanGang(job, queue, k, s, pool, orders, now) && all;
         continue;
       }
+      bool full = false;
       for (int i = 0; i < spec.task_count; ++i) {
         if (orders.starts.size() >= max_starts_) return false;
         Task& task = step.tasks[i];
-        if (task.done || !MayStart(job, task, now)) continue;
+        const bool plain = task.avoid.empty() && task.crashes.empty();
+        if (task.done || (full && plain) || !MayStart(job, task, now)) continue;
         const TaskId id{job.id, k, s, i};
         if (StartTask(job, queue, id, NextRun(task), pool, orders, now)) {
           continue;
         }
         all = false;
         // The other tasks of the step have the same need and fail too, unless
-        // they avoid different workers or this one is a suspect.
-        if (task.avoid.empty() && task.crashes.empty()) break;
+        // they avoid different workers or are suspects.
+        full = full || plain;
       }
     }
   }
@@ -527,6 +533,9 @@
     if (it == pools.end()) continue;
     const bool ejected = now < worker.ejected_until;
     (ejected ? it->second.ejected : it->second.workers).push_back(&worker);
+    if (now < worker.kept_free_until) {
+      it->second.kept_free_for.insert(worker.kept_free_for);
+    }
   }
   if (pools.empty()) return orders;
   const auto first = static_cast<std::ptrdiff_t>(plans_++ % pools.size());
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -154,6 +154,9 @@
   int serving_runs = 0;       ///< Runs of tasks with a tail latency target.
   int suspect_runs = 0;       ///< Runs of tasks that may crash the worker.
   int lone_runs = 0;          ///< Of these, runs that must be alone.
+  /// Until then, only tasks of this job and such that must run alone start.
+  Millis kept_free_until{0};
+  std::string kept_free_for;
   Millis refused_until{0};
   std::int64_t started_at_ms = 0;
   /// Reading of its clock at local time `clock_at`.
@@ -184,6 +187,9 @@
 /// long-running tasks at work have shown that they don't. Tasks of one job
 /// needn't be told apart, as it is the job that is given up.
 bool IsAlone(const Worker& worker, const Job& job);
+/// Whether a task that must run alone has waited long for a worker without any
+/// runs.
+bool HasWaitedForAnEmptyWorker(const Task& task, Millis now);
 /// Whether the store holds the task's crash history; it isn't started before.
 inline bool IsHistoryStored(const Job& job, const Task& task) {
   return task.crashes.empty() ||
@@ -400,6 +406,8 @@
     std::vector<Job*> jobs;
     std::vector<Worker*> workers;
     std::vector<Worker*> ejected;
+    /// Jobs that some workers are kept free for.
+    std::set<std::string, std::less<>> kept_free_for;
     /// Needs for which no worker had room. Room only shrinks within a plan.
     std::vector<Resources> unplaceable;
   };
@@ -463,6 +471,10 @@
                              const std::string& step_name, const Task& task,
                              const Worker& worker, bool avoid,
                              Millis now) const;
+  /// Keeps workers free for `tasks` tasks like `id` if they must run alone and
+  /// have waited long.
+  void KeepFree(const Job& job, const TaskId& id, int tasks, Pool& pool,
+                Millis now) const;
   /// Ends silent workers whose VM has registered the later worker `entry`.
   void EndPredecessors(const WorkerEntry& entry, Millis now);
   /// `by`: the worker that runs on its VM now; may be empty. `ordered`: its VM
--- /dev/null
+++ b/tests/jobs_suspects_test.cc
@@ -0,0 +1,132 @@
+// Tasks that must run alone: they get a worker, and the others get theirs.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jobs_crashes_fixture.h"
+
+namespace hemlockward::jobs {
+namespace {
+
+using testing::CrashTest;
+using testing::OneStep;
+using testing::Step;
+
+class SuspectTest : public CrashTest {
+ protected:
+  // The job's task has been lost with two workers.
+  void MakeSuspect(const std::string& job) {
+    Submit(job, OneStep(Step(1, 1000)));
+    for (int i = 0; i < 2; ++i) Crash(Start().starts.at(0).worker);
+  }
+
+  // Plays `length` with workers that are as full as the scheduler makes them:
+  // runs take 0.4 to 0.75 s and there are always jobs that wait. Returns the
+  // jobs of the tasks that started.
+  std::vector<std::string> PlayFull(Millis length) {
+    constexpr Millis kTick{50};
+    constexpr Millis kRunTime{400};
+    constexpr Millis kSpread{50};
+    constexpr std::size_t kWaitingJobs = 8;
+    std::vector<std::string> started;
+    for (const Millis end = now_ + length; now_ < end;) {
+      while (scheduler_.Pending("queue") < kWaitingJobs) {
+        Submit("full" + std::to_string(++jobs_), OneStep(Step(8, 1000)));
+      }
+      const Orders orders = Plan(kTick);
+      Started(orders);
+      Commit();
+      for (const StartOrder& it : orders.starts) {
+        started.push_back(it.task.job);
+        runs_.push_back({it, now_ + kRunTime + kSpread * (++starts_ % 8)});
+      }
+      EndRuns();
+    }
+    return started;
+  }
+
+ private:
+  struct Work {
+    StartOrder start;
+    Millis ends{0};
+  };
+
+  void EndRuns() {
+    std::map<std::string, WorkerReport> reports;
+    for (const auto& [id, worker] : scheduler_.workers()) {
+      if (worker.ended) continue;
+      reports[id].clock_ms = now_.count;
+      reports[id].started_at_ms = worker.entry.started_at_ms;
+    }
+    for (const Work& it : runs_) {
+      WorkerReport& report = reports.at(it.start.worker);
+      if (it.ends > now_) {
+        report.active.push_back({it.start.task, it.start.run, "", percent_, 0});
+        continue;
+      }
+      const std::int64_t number =
+          scheduler_.FindWorker(it.start.worker)->reported_end_number + 1 +
+          static_cast<std::int64_t>(report.ended.size());
+      report.ended.push_back(
+          {number, it.start.task, it.start.run, EndKind::kDone, ""});
+    }
+    std::erase_if(runs_, [this](const Work& it) { return it.ends <= now_; });
+    now_ += Millis{1};
+    percent_ = (percent_ + 1) % 100;
+    for (const auto& [id, report] : reports) {
+      scheduler_.OnReport(id, report, now_, now_);
+    }
+    Commit();
+  }
+
+  int jobs_ = 0;
+  int starts_ = 0;
+  int percent_ = 0;
+  std::vector<Work> runs_;
+};
+
+TEST_F(SuspectTest, TaskThatMustRunAloneGetsAWorkerOfAFullPool) {
+  AddVms(4);
+  MakeSuspect("a");
+  const auto started = PlayFull(base::Seconds(6));
+  EXPECT_EQ(std::count(started.begin(), started.end(), "a"), 1);
+}
+
+TEST_F(SuspectTest, GangThatMustRunAloneGetsWorkersOfAFullPool) {
+  AddVms(4);
+  StepSpec step = Step(12, 1000);
+  step.gang = true;
+  Submit("gang", OneStep(step));
+  CrashGang(Start());
+  CrashGang(Start());
+  const auto started = PlayFull(base::Seconds(6));
+  EXPECT_EQ(std::count(started.begin(), started.end(), "gang"), 12);
+}
+
+TEST_F(SuspectTest, TaskIsStartedThoughAnotherOneOfItsStepFindsNoRoom) {
+  AddVms(4);
+  Submit("a", OneStep(Step(4, 5000)));
+  const Orders orders = Start();
+  ASSERT_EQ(orders.starts.size(), 4U);
+  const StartOrder& deadly = orders.starts[3];
+  Crash(deadly.worker);
+  Crash(Start().starts.at(0).worker);
+  const auto started = PlayFull(base::Seconds(6));
+  EXPECT_GE(std::count(started.begin(), started.end(), "a"), 1);
+}
+
+TEST_F(SuspectTest, OtherTasksGetTheRoomThatSuspectsLeave) {
+  constexpr int kWorkers = 4;
+  AddVms(kWorkers);
+  MakeSuspect("a");
+  const std::size_t beside = PlayFull(base::Seconds(6)).size();
+  const std::size_t without = PlayFull(base::Seconds(6)).size();
+  EXPECT_GE(beside, without * (kWorkers - 1) / kWorkers);
+}
+
+}  // namespace
+}  // namespace hemlockward::jobs
