A run that was alone counts as alone under the next leader

What callers would see: one more worker lost to a deadly task (BUDGET) if the leader is lost with the worker on which the task ran alone. Cause: the next leader reads which runs were lost, not whether they ran alone, and took them for shared: the task was given up at the fourth loss instead of the third. Evidence: CrashTest.RunAloneThatIsLostWithItsLeaderCountsAsAlone failed before: scheduler_.FindJob("deadly")->state Which is: 1-byte object <01> (running), expected JobState::kFailed Change: a run of which two earlier runs are lost had to be alone; run numbers rise, so the store tells it already. Measured: all jobs_ tests pass; 3,000 cases of the property of deadly tasks.

--- a/src/jobs/crash_history.cc
+++ b/src/jobs/crash_history.cc
@@ -67,6 +67,13 @@
                                               : Suspicion::kRunAlone;
 }
 
+bool CrashHistory::RanAlone(int run) const {
+  const auto lost_before =
+      std::count_if(lost_runs.begin(), lost_runs.end(),
+                    [run](const LostRun& it) { return it.run < run; });
+  return static_cast<std::size_t>(lost_before) >= kLossesToRunAlone;
+}
+
 int CrashHistory::crashed_workers() const {
   return static_cast<int>(
       std::count_if(lost_runs.begin(), lost_runs.end(),
--- a/src/jobs/crash_history.h
+++ b/src/jobs/crash_history.h
@@ -58,6 +58,9 @@
   /// The runs to store: those lost and the one that may be.
   [[nodiscard]] std::vector<LostRun> RunsToStore() const;
   [[nodiscard]] Suspicion suspicion() const;
+  /// Whether the run, which is lost, had to be alone with its job when it
+  /// began.
+  [[nodiscard]] bool RanAlone(int run) const;
   /// Number of workers that are known to have crashed under the task.
   [[nodiscard]] int crashed_workers() const;
   /// Whether the task is given up. `alone`: no other task can have caused the
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -429,10 +429,13 @@
   }
   Job& job = *it->second;
   if (!DecodeProgressRow(value, job)) return false;
-  for (const auto& [task, lost] : LostRuns(job)) {
+  for (const auto& [id, lost] : LostRuns(job)) {
     if (lost.crashed || lost.worker.empty()) continue;
-    unexplained_losses_.emplace(lost.worker,
-                                UnexplainedLoss{task, lost.run, false, now});
+    const Task& task =
+        job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+    unexplained_losses_.emplace(
+        lost.worker,
+        UnexplainedLoss{id, lost.run, task.crashes.RanAlone(lost.run), now});
   }
   UpdateRemaining(job);
   job.committed_state = job.state;
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -374,6 +374,20 @@
   EXPECT_EQ(FirstTask("a").crashes.RunsToStore().size(), 2U);
 }
 
+TEST_F(CrashTest, RunAloneThatIsLostWithItsLeaderCountsAsAlone) {
+  AddVms(4);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  row_ = EncodeJobRow(*scheduler_.FindJob("deadly"));
+  Crash(Start().starts.at(0).worker);
+  Crash(StartWithin(base::Seconds(1)).worker);
+  const StartOrder start = StartWithin(base::Seconds(1));
+  const std::string vm = scheduler_.workers().at(start.worker).entry.vm;
+  TakeOver("deadly", start.worker);
+  Restart(vm);
+  ListVms();
+  EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
+}
+
 // Each crash is seen at once, after the lease, or by the next leader.
 RC_GTEST_FIXTURE_PROP(CrashTest, DeadlyTaskIsGivenUpHoweverItsCrashesAreSeen,
                       ()) {
