What runs on a silent worker is stored at once

What callers would see: a deadly task crashes more workers than BUDGET allows when leaders are lost in its time: each leader that is lost before the first loss of the task is stored costs one more worker, and that took seconds. Cause: a loss was stored when the crash was known, that is when the successor of the worker had registered (3.2 to 3.6 s after the crash in the postmortem), or when the lease had lapsed. Until then only the leader knew what ran on the worker. Evidence: CrashTest.NextLeaderKnowsWhatRanOnASilentWorker failed before: FirstTask("deadly").crashes.lost_runs.size() Which is: 0, expected 1U and the property DeadlyTaskIsGivenUpHoweverItsCrashesAreSeen, with this way to see a crash: "Falsifiable after 53 tests and 3 shrinks". Change: the next plan after a worker falls silent (0.25 s at most) announces its runs, as those of suspects are before they start: once per run, no write per start, none for workers that leave as planned. It is forgotten with the end of the run, or when the task starts again. The property's bound is stricter: three starts and one for each crash that only a lost leader knew of, up to two, instead of five with one of these. With three of them BUDGET breaks: that is open. Ruled out: a write before each start (cost); suspecting all tasks that a new leader doesn't find at work when a worker was replaced (all waiting tasks would be).

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -513,6 +513,7 @@
       LoseRuns(worker, WorkerLoss::kOutOfReach, now);
       worker.unresponsive = true;
     }
+    if (worker.unresponsive) AnnounceRuns(worker);
     if (worker.entry.draining && worker.listed) Evacuate(worker);
     if (worker.serving_runs > 0) AdjustPaces(worker, orders, now);
   }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -463,6 +463,9 @@
   /// Records that the run of a suspect is about to start on the worker. Returns
   /// false if that has to be stored before.
   bool AnnounceRun(Job& job, Task& task, int number, const std::string& worker);
+  /// The worker is silent: the next leader has to know what it may have crashed
+  /// under. Its successor may register only after this leader is lost.
+  void AnnounceRuns(const Worker& worker);
   void AddStart(Job& job, const Queue& queue, const TaskId& id, int number,
                 Worker& worker, Pool& pool, Orders& orders, Millis now);
   Worker* ChooseWorker(const Job& job, const Queue& queue, const TaskId& id,
--- a/src/jobs/suspects.cc
+++ b/src/jobs/suspects.cc
@@ -63,7 +63,12 @@
 bool Scheduler::AnnounceRun(Job& job, Task& task, int number,
                             const std::string& worker) {
   CrashHistory& crashes = task.crashes;
-  if (crashes.empty()) return true;
+  if (crashes.empty()) {
+    // An earlier run, on a worker that was silent.
+    if (std::exchange(crashes.announced_run, 0) != 0)
+      unsaved_jobs_.insert(&job);
+    return true;
+  }
   if (crashes.announced_worker != worker) {
     crashes.announced_worker = worker;
     unsaved_jobs_.insert(&job);
@@ -75,4 +80,18 @@
   return false;
 }
 
+void Scheduler::AnnounceRuns(const Worker& worker) {
+  if (worker.entry.draining || worker.reserved) return;
+  for (const auto& [id, run] : worker.runs) {
+    Job& job = *run.job;
+    Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+    CrashHistory& crashes = task.crashes;
+    if (HasEnded(job.state) || task.done) continue;
+    if (crashes.announced_run >= run.number) continue;
+    crashes.announced_run = run.number;
+    crashes.announced_worker = worker.entry.id;
+    unsaved_jobs_.insert(&job);
+  }
+}
+
 }  // namespace hemlockward::jobs
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -388,10 +388,71 @@
   EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
 }
 
+// The successor of a crashed worker shows the crash only after seconds.
+TEST_F(CrashTest, NextLeaderKnowsWhatRanOnASilentWorker) {
+  AddVms(4);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  row_ = EncodeJobRow(*scheduler_.FindJob("deadly"));
+  const StartOrder start = Start().starts.at(0);
+  scheduler_.workers().at(start.worker).unresponsive = true;
+  Plan();
+  Store();
+  TakeOver("deadly", start.worker);
+  EXPECT_EQ(FirstTask("deadly").crashes.lost_runs.size(), 1U);
+}
+
+TEST_F(CrashTest, RunsOnASilentWorkerAreStoredOnce) {
+  AddVms(2);
+  Submit("a", OneStep(Step(8, 1000)));
+  const Orders orders = Start();
+  Commit();
+  scheduler_.workers().at(orders.starts.at(0).worker).unresponsive = true;
+  Plan();
+  EXPECT_EQ(Commit().rows.size(), 1U);
+  Plan();
+  EXPECT_FALSE(scheduler_.HasChanges());
+}
+
+TEST_F(CrashTest, RunOfAWorkerThatWasSilentLeavesNoHistory) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  for (const EndKind kind : {EndKind::kStopped, EndKind::kDone}) {
+    const StartOrder start = Start().starts.at(0);
+    scheduler_.workers().at(start.worker).unresponsive = true;
+    Plan();
+    Store();
+    now_ += Millis{10};
+    const std::int64_t n =
+        scheduler_.workers().at(start.worker).reported_end_number + 1;
+    Return(start.worker, {{n, start.task, start.run, kind, ""}});
+    Commit();
+    EXPECT_TRUE(FirstTask("a").crashes.RunsToStore().empty());
+  }
+}
+
+// The start never reached the worker.
+TEST_F(CrashTest, RunThatNeverStartedOnASilentWorkerLeavesNoHistory) {
+  AddVms(2);
+  Submit("a", OneStep(Step(1, 1000)));
+  const StartOrder start = Plan().starts.at(0);
+  scheduler_.OnStart(start, StartAnswer::kUnknown, now_);
+  Plan();
+  now_ += Millis{10};
+  Return(start.worker, {});
+  const Orders stops = Plan();
+  ASSERT_EQ(stops.stops.size(), 1U);
+  scheduler_.OnStop(stops.stops[0], true, now_);
+  now_ += Millis{10};
+  Return(start.worker, {});
+  ASSERT_EQ(Plan().starts.size(), 1U);
+  EXPECT_TRUE(FirstTask("a").crashes.RunsToStore().empty());
+}
+
 // Each crash is seen at once, after the lease, or by the next leader.
 RC_GTEST_FIXTURE_PROP(CrashTest, DeadlyTaskIsGivenUpHoweverItsCrashesAreSeen,
                       ()) {
-  constexpr int kMaxStarts = 5;
+  constexpr int kStartsIfSeen = 3;
+  constexpr int kMaxUnseen = 2;
   AddVms(4);
   Submit("deadly", OneStep(Step(1, 1000)));
   row_ = EncodeJobRow(*scheduler_.FindJob("deadly"));
@@ -402,20 +463,23 @@
     if (start.worker.empty()) break;
     ++starts;
     const std::string vm = scheduler_.workers().at(start.worker).entry.vm;
-    // A crash that only a lost leader knew of isn't known to the next one: the
-    // bound allows for one.
+    // A crash that only a lost leader knew of isn't known to the next one.
     const bool first = FirstTask("deadly").crashes.empty();
-    const int how = *rc::gen::inRange(0, first && unseen > 0 ? 2 : 3);
+    const int how = *rc::gen::inRange(0, first && unseen == kMaxUnseen ? 3 : 4);
     if (how == 1) GoSilent(start.worker);
     if (how == 2) {
-      if (first) ++unseen;
-      TakeOver("deadly", start.worker);
+      scheduler_.workers().at(start.worker).unresponsive = true;
+      Plan();
+      Store();
     }
+    if (how == 3 && first) ++unseen;
+    if (how >= 2) TakeOver("deadly", start.worker);
     Restart(vm);
     ListVms();
   }
   RC_ASSERT(scheduler_.FindJob("deadly")->state == JobState::kFailed);
-  RC_ASSERT(starts <= kMaxStarts);
+  // BUDGET breaks with the sixth start.
+  RC_ASSERT(starts <= kStartsIfSeen + unseen);
 }
 
 TEST_F(CrashTest, LongRunningTaskAtWorkIsNoSuspect) {
