Limit the idle connections to all workers together

Cause: the HTTP client keeps up to 64 idle connections for each address and looks at their age only when the address is called again. Connections to workers that are gone, or that get no more starts, stay open. Evidence: HttpClientTest.IdleConnectionsToManyAddressesAreLimited with the loop taken out: "Expected: (client.idle_connections()) <= (kMaxIdle), actual: 4 vs 3". Change: idle connections form one list in the order of their use. Beyond the limit, or after 20 s, the least recently used are closed.

--- a/bench/load.cc
+++ b/bench/load.cc
@@ -62,7 +62,7 @@
   [[nodiscard]] bool Clean() const { return checked_ && report_.Clean(); }
 
  private:
-  static constexpr int kIdleConnections = 1024;
+  static constexpr kernel::HttpClientLimits kIdleConnections{1024, 1024};
   static constexpr Millis kProgressPause{200};
   static constexpr Millis kSettlePause = base::Seconds(1);
 
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -34,7 +34,8 @@
 constexpr Millis kRegistrationInterval = base::Seconds(2);
 constexpr Millis kStopPoll{20};
 // Idle connections per VM; all entries together stay below a VM's limit of 64.
-constexpr int kIdlePerVm = 8;
+constexpr std::size_t kIdlePerVm = 8;
+constexpr std::size_t kIdleConnections = 8192;
 
 base::Incarnation NewIncarnation() {
   // Positive as a Thrift i64, and never 0.
@@ -110,8 +111,8 @@
       settings(std::move(with)),
       self(MakeSelf(settings)),
       platform_http(pool),
-      target_http(pool, kIdlePerVm,
-                  static_cast<std::uint64_t>(settings.max_body_bytes)),
+      target_http(pool, {kIdlePerVm, kIdleConnections,
+                         static_cast<std::uint64_t>(settings.max_body_bytes)}),
       table(platform_http, {settings.platform, settings.platform_timeout, 2}),
       objects(platform_http, {settings.platform, settings.platform_timeout}),
       outcomes(objects),
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -14,6 +14,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 #include <deque>
+#include <iterator>
 #include <list>
 #include <map>
 #include <mutex>
@@ -322,9 +323,11 @@
 constexpr std::uint64_t kMaxReadBytes = 65536;
 
 struct IdleConnection {
+  std::string address;
   std::unique_ptr<beast::tcp_stream> stream;
   base::Millis since;
 };
+using IdleConnections = std::list<IdleConnection>;
 
 // True if the server has closed the connection or sent unexpected data.
 bool IsStale(beast::tcp_stream& stream) {
@@ -339,13 +342,16 @@
 }  // namespace
 
 struct HttpClient::State : std::enable_shared_from_this<State> {
-  State(WorkerPool& pool, int max_idle, std::uint64_t max_body)
-      : pool(pool), max_idle(max_idle), max_body(max_body) {}
+  State(WorkerPool& pool, HttpClientLimits limits)
+      : pool(pool), limits(limits) {}
 
   std::unique_ptr<beast::tcp_stream> TakeIdleConnection(
       const std::string& address);
   void StoreIdleConnection(const std::string& address,
                            std::unique_ptr<beast::tcp_stream> stream);
+  /// Closes the least recently used connection to an address. The caller holds
+  /// the mutex.
+  void CloseIdle(IdleConnections::iterator connection);
   asio::awaitable<tl::expected<HttpResponse, HttpError>> SendRequest(
       std::string address, HttpRequest request, base::Millis timeout,
       std::function<bool()> may_send,
@@ -353,32 +359,51 @@
 
   WorkerPool& pool;
   base::SystemClock clock;
-  int max_idle;
-  std::uint64_t max_body;
-  std::mutex mutex;  // Guards idle_connections.
-  std::map<std::string, std::deque<IdleConnection>> idle_connections;
+  HttpClientLimits limits;
+  std::mutex mutex;      // Guards the idle connections.
+  IdleConnections idle;  // Least recently used first, as those by address.
+  std::map<std::string, std::deque<IdleConnections::iterator>> idle_by_address;
 };
 
 std::unique_ptr<beast::tcp_stream> HttpClient::State::TakeIdleConnection(
     const std::string& address) {
   const std::lock_guard lock(mutex);
-  auto& list = idle_connections[address];
-  while (!list.empty()) {
-    IdleConnection last = std::move(list.back());
-    list.pop_back();
-    const bool fresh = clock.Now() - last.since < kMaxIdleTime;
-    if (fresh && !IsStale(*last.stream)) return std::move(last.stream);
+  const auto it = idle_by_address.find(address);
+  if (it == idle_by_address.end()) return nullptr;
+  std::unique_ptr<beast::tcp_stream> stream;
+  while (!stream && !it->second.empty()) {
+    const auto last = it->second.back();
+    it->second.pop_back();
+    const bool fresh = clock.Now() - last->since < kMaxIdleTime;
+    if (fresh && !IsStale(*last->stream)) stream = std::move(last->stream);
+    idle.erase(last);
   }
-  return nullptr;
+  if (it->second.empty()) idle_by_address.erase(it);
+  return stream;
+}
+
+void HttpClient::State::CloseIdle(IdleConnections::iterator connection) {
+  const auto it = idle_by_address.find(connection->address);
+  it->second.pop_front();
+  if (it->second.empty()) idle_by_address.erase(it);
+  idle.erase(connection);
 }
 
 void HttpClient::State::StoreIdleConnection(
     const std::string& address, std::unique_ptr<beast::tcp_stream> stream) {
   stream->expires_never();
   const std::lock_guard lock(mutex);
-  auto& list = idle_connections[address];
-  if (static_cast<int>(list.size()) >= max_idle) list.pop_front();
-  list.push_back({std::move(stream), clock.Now()});
+  const base::Millis now = clock.Now();
+  idle.push_back({address, std::move(stream), now});
+  auto& of_address = idle_by_address[address];
+  of_address.push_back(std::prev(idle.end()));
+  if (of_address.size() > limits.idle_per_address) {
+    CloseIdle(of_address.front());
+  }
+  while (idle.size() > limits.idle ||
+         now - idle.front().since >= kMaxIdleTime) {
+    CloseIdle(idle.begin());
+  }
 }
 
 // Sends a request and reads the response on the stream's strand.
@@ -421,7 +446,7 @@
 
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
-  parser.body_limit(max_body);
+  parser.body_limit(limits.body_bytes);
   parser.eager(true);
   buffer.reserve(kFirstReadBytes);
   while (!ec && !parser.is_done()) {
@@ -456,14 +481,18 @@
   co_return response;
 }
 
-HttpClient::HttpClient(WorkerPool& pool, int max_idle_per_address,
-                       std::uint64_t max_body_bytes)
-    : state_(std::make_shared<State>(pool, max_idle_per_address,
-                                     max_body_bytes)) {}
+HttpClient::HttpClient(WorkerPool& pool, HttpClientLimits limits)
+    : state_(std::make_shared<State>(pool, limits)) {}
 
 HttpClient::~HttpClient() {
   const std::lock_guard lock(state_->mutex);
-  state_->idle_connections.clear();
+  state_->idle_by_address.clear();
+  state_->idle.clear();
+}
+
+std::size_t HttpClient::idle_connections() const {
+  const std::lock_guard lock(state_->mutex);
+  return state_->idle.size();
 }
 
 asio::awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::Call(
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -106,12 +107,18 @@
 inline constexpr std::string_view kNotAllowedToSend =
     "no longer allowed to be sent";
 
+struct HttpClientLimits {
+  std::size_t idle_per_address = 64;  ///< Connections; at least 1.
+  std::size_t idle = 1024;            ///< Connections to all addresses.
+  std::uint64_t body_bytes = 64 * 1024 * 1024;  ///< Longest response.
+};
+
 /// HTTP client with a pool of keep-alive connections per address.
 class HttpClient {
  public:
-  explicit HttpClient(WorkerPool& pool, int max_idle_per_address = 64,
-                      std::uint64_t max_body_bytes = 64 * 1024 * 1024);
+  explicit HttpClient(WorkerPool& pool, HttpClientLimits limits = {});
   ~HttpClient();
+  [[nodiscard]] std::size_t idle_connections() const;
   /// Sends one request and returns the complete response; a response of unknown
   /// length is an error. Idle connections that the server has closed are
   /// discarded before use. `may_send`, if given, is called once the connection
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -37,6 +37,15 @@
   return limits;
 }
 
+// Connections of clients go first; half of the other descriptors is for calls
+// in progress.
+kernel::HttpClientLimits ClientLimits(const NodeSettings& settings) {
+  kernel::HttpClientLimits limits;
+  limits.idle =
+      static_cast<std::size_t>(settings.max_descriptors - kMaxConnections) / 2;
+  return limits;
+}
+
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -48,7 +57,7 @@
       settings_(std::move(settings)),
       random_(base::SystemSeed()),
       incarnation_(random_() | 1U),
-      http_(pool),
+      http_(pool, ClientLimits(settings_)),
       platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
       peer_client_(pool),
       peers_(settings_.peer),
@@ -104,6 +113,7 @@
   set("hemlockward_renewal_age_ms",
       leads_ ? (clock_.Now() - renewed_).count : 0);
   set("hemlockward_configuration_version", config_.version);
+  set("hemlockward_idle_connections", http_.idle_connections());
   set("hemlockward_jobs", scheduler_.job_count());
   set("hemlockward_runs", scheduler_.run_count());
   set("hemlockward_workers", scheduler_.workers().size());
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -9,6 +9,8 @@
   constexpr double kMaxMbps = 1e9;
   constexpr double kMaxSeconds = 3600;
   constexpr double kMaxOrdersPerSecond = 1e6;
+  constexpr std::int64_t kMinDescriptors = 3000;
+  constexpr std::int64_t kMaxDescriptors = 1'000'000;
   reader.Text("name", &settings.name, "name of this node", Need::kRequired);
   reader.Text("zone", &settings.zone, "availability zone of this node");
   reader.Address("listen.front", &settings.front, "IP:port for clients",
@@ -34,6 +36,9 @@
   reader.Duration("machine_turn", &settings.machine_turn,
                   "minimum time between VM orders of two successive leaders",
                   {0}, kMaxDuration);
+  reader.Integer("max_descriptors", &settings.max_descriptors,
+                 "file descriptors that this process may open", kMinDescriptors,
+                 kMaxDescriptors);
   reader.Real("cpu_share", &settings.cpu_share, "CPU of this node, in cores", 0,
               kMaxCores);
   reader.Real("link_mbps", &settings.link_mbps,
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "base/clock.h"
@@ -22,7 +23,8 @@
   base::Millis grace{6000};          ///< Time from stop signal to kill.
   /// Minimum time between VM orders of two lease holders.
   base::Millis machine_turn{3000};
-  double cpu_share = 0.25;  ///< Cores available to this node.
+  std::int64_t max_descriptors = 4096;  ///< That this process may open.
+  double cpu_share = 0.25;              ///< Cores available to this node.
   double link_mbps = 1000;  ///< Bandwidth of this node's link, Mbit/s.
   double move_s = 1.5;
   double upkeep_s = 2;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -94,6 +94,32 @@
   EXPECT_EQ(result.error().failure, HttpFailure::kNotSent);
 }
 
+// Workers come and go, each with an address of its own.
+TEST(HttpClientTest, IdleConnectionsToManyAddressesAreLimited) {
+  constexpr std::size_t kAddresses = 5;
+  constexpr std::size_t kMaxIdle = 3;
+  WorkerPool pool(2);
+  std::vector<std::unique_ptr<HttpServer>> servers;
+  for (std::size_t i = 0; i < kAddresses; ++i) {
+    servers.push_back(std::make_unique<HttpServer>(
+        pool, "127.0.0.1:0", HttpLimits{},
+        [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+          co_return JsonResponse(200, "{}");
+        }));
+  }
+  HttpClient client(pool, {.idle = kMaxIdle});
+  const std::jthread thread([&pool] { pool.Run(); });
+  for (const auto& it : servers) {
+    const auto answer = tests::RunBlocking(
+        pool, client.Call("127.0.0.1:" + std::to_string(it->port()),
+                          HttpRequest{}, base::Seconds(10)));
+    EXPECT_TRUE(answer);
+    EXPECT_LE(client.idle_connections(), kMaxIdle);
+  }
+  EXPECT_EQ(client.idle_connections(), kMaxIdle);
+  pool.Stop();
+}
+
 // A leader that starts tasks reads the registrations of all workers.
 TEST(HttpClientTest, LargeAnswerIsReadInFewTurnsOfABusyLoop) {
   WorkerPool server_pool(1);
