Start nothing on registrations read too long ago

The users' bound is drain_ms, 2 to 4 s by deployment.

Cause: the leader notices such a feed after 7 s (a wait of 5 s and 2 s more) and starts tasks on what it knows all the while.

No starts are planned once the registrations are older than drain_ms less the longest time that a start takes (0.4 s); starts_held says so. The feed waits for 1 s and 1 s more, so that starts are held for 0.4 s when drain_ms is 2 s. The bound comes from the settings. While commits fail or aren't answered nothing is held: a store that is away accepts no registrations either.

Weighed: the same check once more when a start is sent. Not done: a start is sent within the time that is set aside for it, or not at all.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -314,8 +314,6 @@
   [[nodiscard]] std::optional<Millis> registrations_as_of() const {
     return registrations_as_of_;
   }
-  /// Whether the workers of a pool start more than they have capacity for.
-  [[nodiscard]] bool MustGuardCapacity() const;
   /// Ends a worker whose VM runs another one or none: nothing runs on it.
   void EndWorker(std::string_view id, WorkerLoss loss, Millis now);
   /// Ends unresponsive workers whose VM has a different worker or none in a
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -46,13 +46,6 @@
   if (fresh) EndPredecessors(entry, now);
 }
 
-bool Scheduler::MustGuardCapacity() const {
-  return std::any_of(
-      config_.services.begin(), config_.services.end(), [](const auto& it) {
-        return !it.second.enforces_capacity && !it.second.headroom;
-      });
-}
-
 bool Scheduler::IsCapacityKnown(std::string_view pool, Millis now) const {
   const auto it = config_.services.find(pool);
   if (it != config_.services.end() && it->second.enforces_capacity) return true;
--- a/src/node/commits.cc
+++ b/src/node/commits.cc
@@ -92,6 +92,7 @@
   const CommitOutcome end =
       co_await AwaitCommit(term, heartbeat, release, pending);
   committing_ = false;
+  commit_failed_ = end == CommitOutcome::kNotDone;
   if (end == CommitOutcome::kNotDone && IsLeading(term) && !release) {
     // The batch's new jobs are rejected; its other changes go into the next
     // transaction.
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -15,10 +15,9 @@
 
 namespace {
 
-constexpr Millis kFeedWait = base::Seconds(5);
-/// The same where starts depend on registrations that were read lately: an
-/// unanswered feed and a slow one must be noticed in time.
-constexpr Millis kShortFeedWait{1000};
+/// No tasks start on registrations that were read long ago, so a feed without
+/// an answer must be noticed soon.
+constexpr Millis kFeedWait{1000};
 /// Registrations that take longer to arrive are logged; normally it is 10 ms.
 constexpr Millis kSlowFeed{500};
 /// A turn of the event loop that takes longer is logged. Under full load it
@@ -112,10 +111,8 @@
       continue;
     }
     const Millis sent = clock_.Now();
-    const Millis wait =
-        scheduler_.MustGuardCapacity() ? kShortFeedWait : kFeedWait;
     auto page = co_await platform_.Changes(platform::kWorkerEntryTable,
-                                           workers_version_, wait);
+                                           workers_version_, kFeedWait);
     if (!IsLeading(term)) co_return;
     const Millis took = clock_.Now() - sent;
     if (!page) {
@@ -136,8 +133,8 @@
     }
     workers_version_ = std::max(workers_version_, page->version);
     // Without changes, the store has answered at the end of the wait.
-    const bool waited = page->rows.empty() && took >= wait;
-    scheduler_.OnRegistrationsRead(waited ? sent + wait : sent);
+    const bool waited = page->rows.empty() && took >= kFeedWait;
+    scheduler_.OnRegistrationsRead(waited ? sent + kFeedWait : sent);
     RequestPlan();
   }
 }
@@ -236,6 +233,7 @@
 }
 
 Awaitable<void> NodeProcess::PlanLoop(std::uint64_t term) {
+  bool starts_held = false;
   while (IsLeading(term)) {
     if (!plan_due_) co_await plan_signal_.Wait(kPlanInterval);
     const Millis begin = clock_.Now();
@@ -245,8 +243,13 @@
     const Millis now = clock_.Now();
     RecordTurn(now - begin - kPlanDelay);
     const int room = start_window_.Room(starts_in_flight_);
-    const auto max_starts =
-        static_cast<std::size_t>(CanSendOrders() ? room : 0);
+    const bool may_start = CanSendOrders() && KnowsDrainingWorkers(now);
+    const auto max_starts = static_cast<std::size_t>(may_start ? room : 0);
+    if (CanSendOrders() && !may_start && !starts_held) {
+      LogLine(LogLevel::kWarning, "starts_held")
+          .With("registrations_ms_old", RegistrationsAge(now).count);
+    }
+    starts_held = !may_start;
     jobs::Orders orders = scheduler_.Plan(now, clock_.Wall(), max_starts);
     if (!orders.starts.empty()) {
       metrics_.Observe("hemlockward_registrations_age_ms", "",
@@ -257,6 +260,11 @@
   }
 }
 
+bool NodeProcess::KnowsDrainingWorkers(Millis now) const {
+  if (commit_failed_ || IsStoreStalled(now)) return true;
+  return RegistrationsAge(now) + kOrderTimeout <= settings_.drain_notice;
+}
+
 Millis NodeProcess::RegistrationsAge(Millis now) const {
   return now - scheduler_.registrations_as_of().value_or(lease_taken_);
 }
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -336,6 +336,7 @@
   UpdateStoreTime(version->store_ms);
   heartbeat_number_ = 0;
   renewed_ = sent;
+  commit_failed_ = false;
   lease_taken_ = clock_.Now();
   lease_.lease = own_lease_ = row;
   lease_.lease_version = version->version;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -195,6 +195,9 @@
   void RecordFeed(const platform::StorePage& page);
   /// Time since all registrations were as this leader knows them.
   [[nodiscard]] Millis RegistrationsAge(Millis now) const;
+  /// Whether the registrations that were read still tell where tasks may start.
+  /// While the store doesn't answer, no worker registers as draining.
+  [[nodiscard]] bool KnowsDrainingWorkers(Millis now) const;
   /// `turn`: how long a coroutine that was ready waited for the event loop.
   void RecordTurn(Millis turn);
   void Execute(std::uint64_t term, jobs::Orders orders);
@@ -257,6 +260,7 @@
   Millis started_{0};
   Millis stop_limit_{0};  ///< With `stopping_`: deadline for all replies.
   Millis commit_started_{0};
+  bool commit_failed_ = false;  ///< The newest commit that has ended.
   CommitTimeout commit_timeout_;
   std::int64_t store_ms_ = 0;  ///< The store's clock at `store_time_received_`.
   Millis store_time_received_{0};
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -33,6 +33,10 @@
   reader.Duration("grace", &settings.grace,
                   "time from the stop signal until the process is killed", {0},
                   kMaxDuration);
+  reader.Duration("drain_notice", &settings.drain_notice,
+                  "how long tasks may start on a worker after it registered as "
+                  "draining",
+                  {500}, kMaxDuration);
   reader.Duration("machine_turn", &settings.machine_turn,
                   "minimum time between VM orders of two successive leaders",
                   {0}, kMaxDuration);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -21,6 +21,8 @@
   base::Millis worker_lease{4000};   ///< Duration of a lease sent to workers.
   base::Millis longest_lease{6000};  ///< Longest lease that workers accept.
   base::Millis grace{6000};          ///< Time from stop signal to kill.
+  /// How long tasks may start on a worker after it registered as draining.
+  base::Millis drain_notice{2000};
   /// Minimum time between VM orders of two lease holders.
   base::Millis machine_turn{3000};
   std::int64_t max_descriptors = 4096;  ///< That this process may open.
