Property: a job is given up only after two crashes under its task

Workers crash under the task, crash before they receive its start, or are out of reach until their lease has lapsed, and leaders change. The fixture's next leader requests its reports 10 ms after it has loaded the state, not in the same millisecond, in which they prove nothing.

No functional change

--- a/tests/jobs_crashes_fixture.h
+++ b/tests/jobs_crashes_fixture.h
@@ -145,6 +145,7 @@
     if (!progress_.empty()) {
       ASSERT_TRUE(scheduler_.LoadProgress(job, progress_, now_));
     }
+    now_ += Millis{10};
     for (const Worker& it : workers) {
       const std::string& id = it.entry.id;
       scheduler_.LoadWorker(id, EncodeWorkerRow(it), now_);
--- a/tests/jobs_suspects_test.cc
+++ b/tests/jobs_suspects_test.cc
@@ -155,6 +155,54 @@
   }
 }
 
+// After five crashes a task is given up in any case.
+RC_GTEST_FIXTURE_PROP(CrashTest, JobIsGivenUpOnlyAfterTwoCrashesUnderItsTask,
+                      ()) {
+  constexpr int kCrashesToGiveUp = 2;
+  constexpr int kMaxCrashesElsewhere = 3;
+  AddVms(4);
+  Submit("deadly", OneStep(Step(1, 1000)));
+  row_ = EncodeJobRow(*scheduler_.FindJob("deadly"));
+  int crashes = 0;
+  int crashes_elsewhere = 0;
+  for (int i = 0; i < 12; ++i) {
+    const int how = *rc::gen::inRange(0, 4);
+    Orders orders;
+    for (int n = 0; orders.starts.empty() && n < 50; ++n) {
+      orders = Plan(Millis{200});
+      if (orders.starts.empty()) Store();
+    }
+    if (orders.starts.empty()) break;
+    const StartOrder& start = orders.starts[0];
+    const std::string vm = scheduler_.workers().at(start.worker).entry.vm;
+    if (how == 1 && crashes_elsewhere < kMaxCrashesElsewhere) {
+      ++crashes_elsewhere;
+      scheduler_.OnStart(start, StartAnswer::kUnknown, now_);
+      Restart(vm);
+      continue;
+    }
+    Started(orders);
+    if (how == 0) {
+      ++crashes;
+      Restart(vm);
+    } else if (how == 2) {
+      GoSilent(start.worker);
+      scheduler_.workers().at(start.worker).listed = true;
+      const std::int64_t n =
+          scheduler_.workers().at(start.worker).reported_end_number + 1;
+      now_ += Millis{10};
+      Return(start.worker, {{n, start.task, start.run, EndKind::kLapsed, ""}});
+      Store();
+    } else {
+      Store();
+      TakeOver("deadly", "");
+    }
+    if (scheduler_.FindJob("deadly")->state == JobState::kFailed) {
+      RC_ASSERT(crashes >= kCrashesToGiveUp);
+    }
+  }
+}
+
 // Each crash is seen at once, after the lease, or by the next leader.
 RC_GTEST_FIXTURE_PROP(CrashTest, DeadlyTaskIsGivenUpIfWorkersKeepTheirIds, ()) {
   constexpr int kStartsIfSeen = 3;
