Test: a long-running task beside a deadly one isn't given up

Three workers crash under it, by the fault of a task that must run alone and may run beside long-running tasks at work.

No functional change

--- a/tests/jobs_suspects_test.cc
+++ b/tests/jobs_suspects_test.cc
@@ -129,6 +129,45 @@
   EXPECT_GE(beside, without * (kWorkers - 1) / kWorkers);
 }
 
+// Three workers crash under it, and it is the other task's fault.
+TEST_F(SuspectTest, LongRunningTaskBesideADeadlyOneIsNotGivenUp) {
+  AddVms(1);
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  Submit("sound", OneStep(step));
+  Submit("deadly", OneStep(Step(1, 1000)));
+  std::map<std::string, StartOrder> running;
+  int crashes = 0;
+  for (int i = 0; i < 100 && crashes < 3; ++i) {
+    const Orders orders = Plan(Millis{100});
+    Started(orders);
+    Store();
+    for (const StartOrder& it : orders.starts) running[it.task.job] = it;
+    if (running.contains("sound")) {
+      const StartOrder& start = running["sound"];
+      WorkerReport report;
+      report.clock_ms = now_.count;
+      report.started_at_ms =
+          scheduler_.workers().at(start.worker).started_at_ms;
+      report.active = {{start.task, start.run, "", 100, 0}};
+      if (running.contains("deadly")) {
+        const StartOrder& deadly = running["deadly"];
+        report.active.push_back({deadly.task, deadly.run, "", i, 0});
+      }
+      now_ += Millis{10};
+      scheduler_.OnReport(start.worker, report, now_, now_);
+      Store();
+    }
+    if (running.size() < 2) continue;
+    ++crashes;
+    Crash(running["deadly"].worker);
+    running.clear();
+  }
+  EXPECT_EQ(crashes, 3);
+  EXPECT_EQ(scheduler_.FindJob("deadly")->state, JobState::kFailed);
+  EXPECT_EQ(scheduler_.FindJob("sound")->state, JobState::kRunning);
+}
+
 // The next leader hears the worker that was silent, in the same incarnation.
 TEST_F(SuspectTest, RunsOfAWorkerThatReturnsToTheNextLeaderAreNotLost) {
   AddVms(4);
