--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -354,7 +354,7 @@
   void CloseIdle(IdleConnections::iterator connection);
   asio::awaitable<tl::expected<HttpResponse, HttpError>> SendRequest(
       std::string address, HttpRequest request, base::Millis timeout,
-      std::function<bool()> may_send,
+      std::function<bool()> may_send, base::Millis header_timeout,
       std::unique_ptr<beast::tcp_stream> stream);
 
   WorkerPool& pool;
@@ -411,6 +411,7 @@
 HttpClient::State::SendRequest(std::string address, HttpRequest request,
                                base::Millis timeout,
                                std::function<bool()> may_send,
+                               base::Millis header_timeout,
                                std::unique_ptr<beast::tcp_stream> stream) {
   error_code ec;
   const bool connected = stream->socket().is_open();
@@ -449,13 +450,20 @@
   parser.body_limit(limits.body_bytes);
   parser.eager(true);
   buffer.reserve(kFirstReadBytes);
+  if (header_timeout.count > 0) {
+    const base::Millis left = deadline - clock.Now();
+    stream->expires_after(std::min(header_timeout, left).ToChrono());
+  }
+  bool header_read = false;
   while (!ec && !parser.is_done()) {
-    if (parser.is_header_done()) {
-      const std::uint64_t rest =
-          parser.content_length_remaining().value_or(kMaxReadBytes);
-      buffer.reserve(std::min(rest, kMaxReadBytes));
-    }
     co_await http::async_read_some(*stream, buffer, parser, Redirect(ec));
+    if (!parser.is_header_done()) continue;
+    if (!std::exchange(header_read, true)) {
+      stream->expires_after((deadline - clock.Now()).ToChrono());
+    }
+    const std::uint64_t rest =
+        parser.content_length_remaining().value_or(kMaxReadBytes);
+    buffer.reserve(std::min(rest, kMaxReadBytes));
   }
   if (ec) {
     const auto failure = ec == beast::error::timeout ? HttpFailure::kTimeout
@@ -497,7 +505,7 @@
 
 asio::awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::Call(
     std::string address, HttpRequest request, base::Millis timeout,
-    std::function<bool()> may_send) {
+    std::function<bool()> may_send, base::Millis header_timeout) {
   auto state = state_;
   auto stream = state->TakeIdleConnection(address);
   if (!stream) {
@@ -505,9 +513,9 @@
         asio::make_strand(state->pool.context()));
   }
   const auto executor = stream->get_executor();
-  auto exchange =
-      state->SendRequest(std::move(address), std::move(request), timeout,
-                         std::move(may_send), std::move(stream));
+  auto exchange = state->SendRequest(std::move(address), std::move(request),
+                                     timeout, std::move(may_send),
+                                     header_timeout, std::move(stream));
   co_return co_await asio::co_spawn(executor, std::move(exchange),
                                     asio::use_awaitable);
 }
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -123,10 +123,11 @@
   /// length is an error. Idle connections that the server has closed are
   /// discarded before use. `may_send`, if given, is called once the connection
   /// is established, right before the first byte is sent; if it returns false,
-  /// the call fails with kNotSent.
+  /// the call fails with kNotSent. If `header_timeout` isn't 0, the header of
+  /// the response must arrive within that time after the request was sent.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
       std::string address, HttpRequest request, base::Millis timeout,
-      std::function<bool()> may_send = {});
+      std::function<bool()> may_send = {}, base::Millis header_timeout = {0});
 
  private:
   struct State;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <thread>
 
 #include "blocking.h"
@@ -44,6 +46,14 @@
                             std::move(request), {200}));
   }
 
+  // The response must begin within 100 ms and end within 2 s.
+  tl::expected<HttpResponse, HttpError> CallWithHeaderTimeout(
+      std::string address, HttpRequest request) {
+    return tests::RunBlocking(
+        pool_, client_.Call(std::move(address), std::move(request), {2000}, {},
+                            {100}));
+  }
+
   WorkerPool pool_;
   HttpClient client_;
   std::unique_ptr<HttpServer> server_;
@@ -71,6 +81,31 @@
   EXPECT_EQ(answer.error().failure, HttpFailure::kTimeout);
 }
 
+TEST_F(HttpTest, HeaderThatIsLateTimesOut) {
+  const auto answer = CallWithHeaderTimeout(
+      "127.0.0.1:" + std::to_string(server_->port()), {"GET", "/slow", {}, ""});
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().failure, HttpFailure::kTimeout);
+}
+
+TEST_F(HttpTest, BodyMayTakeLongerThanTheHeader) {
+  asio::ip::tcp::acceptor acceptor(pool_.context(),
+                                   {asio::ip::address_v4::loopback(), 0});
+  const std::jthread server([&acceptor] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    std::string request(1000, '\0');
+    socket.read_some(asio::buffer(request));
+    asio::write(socket, asio::buffer(std::string_view(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    asio::write(socket, asio::buffer(std::string_view("ok")));
+  });
+  const auto answer = CallWithHeaderTimeout(
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), {});
+  ASSERT_TRUE(answer) << answer.error().what;
+  EXPECT_EQ(answer->body, "ok");
+}
+
 TEST_F(HttpTest, OversizedRequestNeverReachesTheHandler) {
   const auto answer = Call({"POST", "/echo", {}, std::string(2000, 'x')});
   ASSERT_TRUE(answer) << answer.error().what;
--- a/tests/platform_reading_test.cc
+++ b/tests/platform_reading_test.cc
@@ -18,6 +18,8 @@
 using kernel::HttpResponse;
 using platform::StoreRow;
 
+constexpr Millis kSilence = base::Seconds(10);
+
 // A store with two pages. Each page is as of a later version.
 class ReadingTest : public ::testing::Test {
  protected:
@@ -39,6 +41,7 @@
     const int n = ++requests_;
     const bool first = request.target.find("&from=") == std::string::npos;
     if (!first) ++requests_of_second_page_;
+    if (silent_ && n % 2 == 1) co_await kernel::Sleep(kSilence);
     if (!first && n <= lost_until_) {
       HttpResponse lost;
       lost.cut_after = 0;
@@ -67,6 +70,7 @@
   std::atomic<int> requests_{0};
   std::atomic<int> requests_of_second_page_{0};
   int lost_until_ = 0;
+  bool silent_ = false;  ///< At each request with an odd number.
   int given_up_after_ = 1000;
   std::vector<std::string> keys_;
   kernel::WorkerPool pool_;
@@ -94,6 +98,16 @@
   EXPECT_EQ(requests_, 4);
 }
 
+// A connection on which an answer is lost stays open and silent.
+TEST_F(ReadingTest, SilentStoreIsAskedAgainSoon) {
+  silent_ = true;
+  const base::SystemClock clock;
+  const Millis begin = clock.Now();
+  EXPECT_TRUE(Read());
+  EXPECT_EQ(requests_, 4);
+  EXPECT_LT(clock.Now() - begin, Millis{2500});
+}
+
 // The lease is lost while the second page has no answer.
 TEST_F(ReadingTest, ReadingStopsWhenItsCallerMustNotGoOn) {
   lost_until_ = 1000;
