Reports of a worker are ordered by its clock, not by when they were requested

Cause: a request that waits for the end of a run is answered with the state at that end. One sent after it and answered at once holds an earlier state, but was taken as the newer one if its answer arrived later. A run that had just been seen at work was missing there, counted as ended, and its task started again elsewhere. Class: memory taken from an answer that is older than what is known. Evidence, on the code before: SchedulerTest.RunMissingInAnEarlierReportHasNotEnded: "Value of: Plan().starts.empty() Actual: false Expected: true"; and RunActiveInAnEarlierReportHasEnded: "runs.size() Which is: 2, 1U". Change: within one incarnation a report is dropped if the worker's clock in it is behind the newest one's. One of the same millisecond may be older as well: runs that it lacks are not taken as ended. The reports in jobs_crashes_test.cc read the worker's clock 500 ms earlier than the report before, which no worker does; they now go on from it. The checks are the same, and pass on the code before, too.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -285,6 +285,7 @@
   const bool planned = worker.entry.draining || worker.reserved;
   if (!planned) ConfirmCrash(worker.entry.id, now);
   worker.started_at_ms = started_at_ms;
+  worker.report_clock_ms = 0;
   worker.reported_end_number = worker.committed_end_number =
       worker.confirmed_end_number = 0;
   if (worker.runs.empty()) return;
@@ -377,6 +378,13 @@
     if (report.started_at_ms < worker->started_at_ms) return;
     BeginIncarnation(*worker, report.started_at_ms, now);
   }
+  // A request that waited for an end is answered with a later state than one
+  // that was sent after it and answered at once.
+  const bool same_clock = report.started_at_ms > 0 && worker->started_at_ms > 0;
+  if (same_clock && report.clock_ms < worker->report_clock_ms) return;
+  const bool is_newest =
+      !same_clock || report.clock_ms > worker->report_clock_ms;
+  worker->report_clock_ms = report.clock_ms;
   RecordReturn(*worker, report, sent, now);
   if (report.started_at_ms > 0) worker->started_at_ms = report.started_at_ms;
   worker->clock_ms = report.clock_ms;
@@ -395,7 +403,7 @@
     const auto next = std::next(it);
     const Run& run = it->second;
     const bool settled =
-        run.phase == RunPhase::kRunning && run.settled_from < sent;
+        run.phase == RunPhase::kRunning && run.settled_from < sent && is_newest;
     if (settled && !active.contains(it->first)) {
       const Run ended = run;
       EndRun(*worker, it, now);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -168,6 +168,8 @@
   Millis lease_expires_by{0};
   Millis last_report_at{0};
   Millis report_sent{-1};  ///< Time at which the newest report was requested.
+  /// The worker's clock in the newest report of this incarnation.
+  std::int64_t report_clock_ms = 0;
   /// Highest end number in its reports.
   std::int64_t reported_end_number = 0;
   /// Highest end number that is in the store.
--- a/tests/jobs_crashes_fixture.h
+++ b/tests/jobs_crashes_fixture.h
@@ -68,7 +68,7 @@
 
   void Return(const std::string& id, std::vector<EndedRun> ended) {
     WorkerReport report;
-    report.clock_ms = now_.count;
+    report.clock_ms = now_.count + 500;
     report.started_at_ms = scheduler_.workers().at(id).entry.started_at_ms;
     report.ended = std::move(ended);
     scheduler_.OnReport(id, report, now_, now_);
@@ -152,7 +152,7 @@
       if (id == lost) continue;
       scheduler_.UpsertWorker(it.entry, now_);
       WorkerReport report;
-      report.clock_ms = now_.count;
+      report.clock_ms = now_.count + 500;
       report.started_at_ms = it.entry.started_at_ms;
       scheduler_.OnReport(id, report, now_, now_);
     }
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -114,7 +114,7 @@
   Plan(base::Seconds(5));
   EXPECT_EQ(FirstTask("a").crashes.lost_runs.size(), 1U);
   WorkerReport report;
-  report.clock_ms = now_.count;
+  report.clock_ms = now_.count + 500;
   report.started_at_ms = worker.started_at_ms;
   report.ended = {{1, start.task, start.run, EndKind::kLapsed, ""}};
   scheduler_.OnReport(start.worker, report, now_, now_);
@@ -338,7 +338,7 @@
   const StartOrder start = Start().starts.at(0);
   now_ += Millis{10};
   WorkerReport report;
-  report.clock_ms = now_.count;
+  report.clock_ms = now_.count + 500;
   report.started_at_ms = scheduler_.workers().at(start.worker).started_at_ms;
   report.active = {{start.task, start.run, "", 5, 0}};
   scheduler_.OnReport(start.worker, report, now_, now_);
@@ -365,7 +365,7 @@
   ASSERT_TRUE(scheduler_.LoadProgress("a", progress, now_));
   scheduler_.UpsertWorker(entry, now_);
   WorkerReport report;
-  report.clock_ms = now_.count;
+  report.clock_ms = now_.count + 500;
   report.started_at_ms = entry.started_at_ms;
   report.active = {{start.task, start.run, "", 5, 0}};
   now_ += Millis{10};
@@ -492,7 +492,7 @@
   EXPECT_EQ(FirstTask("a").crashes.lost_runs.size(), 1U);
   now_ += Millis{10};
   WorkerReport report;
-  report.clock_ms = now_.count;
+  report.clock_ms = now_.count + 500;
   report.started_at_ms = scheduler_.workers().at(start.worker).started_at_ms;
   report.active = {{start.task, start.run, "", 100, 0}};
   scheduler_.OnReport(start.worker, report, now_, now_);
--- a/tests/jobs_suspects_test.cc
+++ b/tests/jobs_suspects_test.cc
@@ -60,7 +60,7 @@
     std::map<std::string, WorkerReport> reports;
     for (const auto& [id, worker] : scheduler_.workers()) {
       if (worker.ended) continue;
-      reports[id].clock_ms = now_.count;
+      reports[id].clock_ms = now_.count + 500;
       reports[id].started_at_ms = worker.entry.started_at_ms;
     }
     for (const Work& it : runs_) {
@@ -146,7 +146,7 @@
     if (running.contains("sound")) {
       const StartOrder& start = running["sound"];
       WorkerReport report;
-      report.clock_ms = now_.count;
+      report.clock_ms = now_.count + 500;
       report.started_at_ms =
           scheduler_.workers().at(start.worker).started_at_ms;
       report.active = {{start.task, start.run, "", 100, 0}};
@@ -183,7 +183,7 @@
     EXPECT_EQ(FirstTask("deadly").crashes.lost_runs.size(), 1U);
     scheduler_.UpsertWorker(entry, now_);
     WorkerReport report;
-    report.clock_ms = now_.count;
+    report.clock_ms = now_.count + 500;
     report.started_at_ms = entry.started_at_ms;
     if (at_work) report.active = {{start.task, start.run, "", 5, 0}};
     now_ += Millis{10};
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -28,6 +28,53 @@
   EXPECT_EQ(PlanStarts().starts.size(), 1U);
 }
 
+// A request that waits for the end of a run is answered with a later state than
+// one that was sent after it (soak, seed 3: TWICE).
+TEST_F(SchedulerTest, RunMissingInAnEarlierReportHasNotEnded) {
+  AddWorker("w1");
+  AddWorker("w2");
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  const StartOrder& start = orders.starts[0];
+  WorkerReport waited;
+  waited.started_at_ms = 1;
+  waited.clock_ms = now_.count + 510;
+  waited.active = {{start.task, start.run, "", 0, 0}};
+  WorkerReport prompt;
+  prompt.started_at_ms = 1;
+  for (const std::int64_t before : {5, 0}) {
+    prompt.clock_ms = waited.clock_ms - before;
+    scheduler_.OnReport(start.worker, waited, now_ + Millis{1},
+                        now_ + Millis{10});
+    scheduler_.OnReport(start.worker, prompt, now_ + Millis{3},
+                        now_ + Millis{12});
+    EXPECT_TRUE(Plan().starts.empty()) << before;
+  }
+}
+
+TEST_F(SchedulerTest, RunActiveInAnEarlierReportHasEnded) {
+  AddWorker("w1");
+  Submit("a", OneStep(Step(2, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 2U);
+  Started(orders);
+  const StartOrder& start = orders.starts[0];
+  WorkerReport waited;
+  waited.started_at_ms = 1;
+  waited.clock_ms = now_.count + 510;
+  waited.active = {{orders.starts[1].task, orders.starts[1].run, "", 0, 0}};
+  waited.ended = {{1, start.task, start.run, EndKind::kDone, ""}};
+  WorkerReport prompt = waited;
+  prompt.clock_ms -= 5;
+  prompt.ended.clear();
+  prompt.active.push_back({start.task, start.run, "", 0, 0});
+  scheduler_.OnReport("w1", waited, now_ + Millis{1}, now_ + Millis{10});
+  scheduler_.OnReport("w1", prompt, now_ + Millis{3}, now_ + Millis{12});
+  EXPECT_EQ(scheduler_.FindWorker("w1")->runs.size(), 1U);
+  EXPECT_TRUE(Plan().stops.empty());
+}
+
 TEST_F(SchedulerTest, NewIncarnationHasNoRunsOfThePreviousOne) {
   AddWorker("w1");
   const JobSpec spec = OneStep(Step(1, 1000));
