A worker's row is removed once in a transaction

What callers would see: the store refuses a transaction with two entries for one row, and nothing that the leader writes after it is stored: new jobs are refused. The new test failed before: scheduler_.TakeBatch().rows.size() Which is: 2, expected 1U Change: the commit queues no removal that is queued already.

--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -356,10 +356,14 @@
     Worker* worker = FindWorker(id);
     if (worker && !worker->ended) {
       worker->stored = true;
-    } else {
-      // The worker ended while its row was being written.
-      rows_.push_back({kWorkerTable, id, "", true});
+      continue;
     }
+    // The worker ended while its row was being written.
+    const bool queued =
+        std::any_of(rows_.begin(), rows_.end(), [&id](const RowWrite& row) {
+          return row.table == kWorkerTable && row.key == id;
+        });
+    if (!queued) rows_.push_back({kWorkerTable, id, "", true});
   }
   for (const RowWrite& it : batch.rows) {
     rows_committed_ = std::max(rows_committed_, it.number);
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -152,6 +152,20 @@
   EXPECT_EQ(next.rows[0].key, "w");
 }
 
+TEST_F(SchedulerTest, RowOfARestartedWorkerThatEndedIsRemovedOnce) {
+  AddWorker("w");
+  WorkerReport report;
+  report.clock_ms = 1;
+  report.started_at_ms = 2;
+  now_ += Millis{10};
+  scheduler_.OnReport("w", report, now_, now_);
+  const Batch batch = scheduler_.TakeBatch();
+  ASSERT_EQ(batch.workers.size(), 1U);
+  scheduler_.EndWorker("w", WorkerLoss::kPlanned, now_);
+  scheduler_.OnCommitted(batch);
+  EXPECT_EQ(scheduler_.TakeBatch().rows.size(), 1U);
+}
+
 // It registers before the registration of the ended incarnation is removed.
 TEST_F(SchedulerTest, WorkerThatRestartsUnderItsIdAfterItEndedIsUsed) {
   AddWorker("w");
