Start nothing on the capacity of a worker's earlier incarnation

A worker came back under its id with 7,000 of 16,000 thousandths of a core. The leader saw the restart (worker_restarted) and started runs 10 ms later on the capacity that the earlier incarnation had registered: 2,000 started beside 12,500. Cause: only the age of the registrations was looked at, not whose they are. A report tells of a restart as soon as the worker answers, its registration may be read a second later. Change: where workers don't guard their capacity, a worker whose registration is older than the incarnation that reports isn't used until the next one is read.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -528,7 +528,7 @@
         worker.listed && !worker.ended && worker.adopted && worker.stored &&
         !worker.entry.draining && !worker.reserved && !worker.unresponsive &&
         worker.unknown_runs == 0 && now >= worker.refused_until &&
-        IsCapacityKnown(worker.entry.service, now);
+        IsCapacityKnown(worker, now);
     if (!usable) continue;
     const auto it = pools.find(worker.entry.service);
     if (it == pools.end()) continue;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -495,9 +495,8 @@
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
                                        const std::string& worker) const;
-  /// Whether the capacity of the pool's workers is known well enough to start
-  /// tasks there.
-  [[nodiscard]] bool IsCapacityKnown(std::string_view pool, Millis now) const;
+  /// Whether the worker's capacity is known well enough to start tasks there.
+  [[nodiscard]] bool IsCapacityKnown(const Worker& worker, Millis now) const;
   [[nodiscard]] bool IsAdoptionPending(const Job& job, Millis now) const;
   const std::string* TicketFor(const std::string& step_name,
                                const Worker& worker, Orders& orders,
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -46,10 +46,13 @@
   if (fresh) EndPredecessors(entry, now);
 }
 
-bool Scheduler::IsCapacityKnown(std::string_view pool, Millis now) const {
-  const auto it = config_.services.find(pool);
+bool Scheduler::IsCapacityKnown(const Worker& worker, Millis now) const {
+  const WorkerEntry& entry = worker.entry;
+  const auto it = config_.services.find(entry.service);
   if (it != config_.services.end() && it->second.enforces_capacity) return true;
-  return registrations_as_of_ &&
+  const bool of_earlier_incarnation =
+      entry.started_at_ms != 0 && entry.started_at_ms < worker.started_at_ms;
+  return !of_earlier_incarnation && registrations_as_of_ &&
          now - *registrations_as_of_ <= kRegistrationValidity;
 }
 
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -443,6 +443,28 @@
   EXPECT_EQ(Plan().starts.size(), 1U);
 }
 
+// A restarted worker may have less capacity than it had.
+TEST_F(SchedulerTest, NothingStartsOnTheCapacityOfAnEarlierIncarnation) {
+  config_.services["pool"].enforces_capacity = false;
+  scheduler_.SetConfiguration(config_);
+  AddWorker("w");
+  scheduler_.OnRegistrationsRead(now_);
+  Submit("a", OneStep(Step(1, 5000)));
+  WorkerReport report;
+  report.clock_ms = 10;
+  report.started_at_ms = 2;
+  scheduler_.OnReport("w", report, now_, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  WorkerEntry entry = scheduler_.workers().at("w").entry;
+  entry.started_at_ms = 2;
+  entry.capacity.cpu_milli = 4000;
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_TRUE(Plan().starts.empty());
+  entry.capacity.cpu_milli = 5000;
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_EQ(Plan().starts.size(), 1U);
+}
+
 TEST_F(SchedulerTest, RunBeingStoppedCountsUntilItsEndIsListed) {
   AddWorker("w");
   Submit("a", OneStep(Step(1, 8000)));
