Soak: deadly tasks, refusals before the leader is lost, unguarded capacity

New, all drawn from random streams of their own, so the schedule of the faults so far is that of before (what runs beside them is not): - 3 in 100 jobs have a task that ends each worker that starts it, without an answer; the machine's next worker comes after 0.5 to 4 s, 3 in 10 under the same id. BUDGET: the third start by a node in touch after three such crashes. LOST: such a job may be shown as failed after two. - the store answers 503 or 429 to the leader or to all for 2 to 4 s after a burst of small jobs; the leader is killed, frozen or cut off within 0.3 s of its return. LIMIT: a smaller capacity counts contact_ms and a heartbeat later, that of an earlier life no more once the leader has listed the new one. - a dead worker answers no hold; nodes are stopped side by side at the end.

No functional change

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -20,12 +20,18 @@
         self.held = set()  # Directions that pass nothing: "to", "from".
         self.refusing = False
         self.writers = set()
+        self.was_reset = False  # Since the last look at what disturbs it.
+
+    def is_disturbed(self):
+        was_reset, self.was_reset = self.was_reset, False
+        return was_reset or self.refusing or bool(self.held) or self.delay_s > 0
 
     def clear(self):
         self.delay_s, self.held, self.refusing = 0.0, set(), False
 
     def reset(self):
         """Ends every open connection with a reset."""
+        self.was_reset = True
         self.links.loop.call_soon_threadsafe(self._reset)
 
     def _reset(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized soak: real hemlockward-node processes, faults from outside, promises checked meanwhile.
 
-Usage: soak.py [--seeds 1-3,107] [--seconds S] [--nodes N] [--machines N]   (with HEMLOCKWARD_BIN set)
+Usage: soak.py [--seeds 1-3,107] [--seconds S] [--nodes N] [--machines N] [--deadly SHARE]   (with HEMLOCKWARD_BIN set)
 Prints one line a seed; exits with 1 when a promise was broken. Logs of such a seed are kept.
 """
 
@@ -29,6 +29,9 @@
 VISIBLE_S = 3.0
 SETTLE_S = 60.0  # For jobs to end once all faults are over; well above any lease.
 GRACE_S = 6.0
+BURST_CLIENTS = 6
+BURST_S = 1.0
+LOSS_GAP_S = 0.3  # From the store's return to the leader's loss, at most.
 
 
 def free_ports():
@@ -62,6 +65,7 @@
         self.link = soak.links.add(self.server.server_address[1])
         self.process = None
         self.paused = False
+        self.signalled = False  # Since the last look at what disturbs it.
         self.expected_end = True  # It is being stopped or killed by us.
         self.settings = soak.dir / f"{self.name}.yaml"
         small = number % 3 == 2
@@ -80,12 +84,20 @@
             self.process = subprocess.Popen(
                 [binary, "--settings", self.settings], stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.paused = False
+        self.signalled = True
         self.expected_end = False
 
     def alive(self):
         return self.process is not None and self.process.poll() is None
 
+    def is_disturbed(self):
+        signalled, self.signalled = self.signalled, False
+        return signalled or self.paused or not self.alive() or self.link.is_disturbed()
+
     def send(self, number):
+        if number == signal.SIGSTOP or number == signal.SIGCONT:
+            self.paused = number == signal.SIGSTOP
+        self.signalled = self.signalled or number != signal.SIGHUP
         if self.alive():
             self.process.send_signal(number)
 
@@ -112,6 +124,8 @@
         super().__init__(daemon=True)
         self.soak = soak
         self.random = random.Random(soak.seed * 1000 + number)
+        self.deadly_random = random.Random(f"deadly {soak.seed} {number}")
+        self.deadly_share = soak.deadly_share
         self.connections = {}
         self.mine = []
 
@@ -156,6 +170,8 @@
         world = self.soak.world
         job_id = f"{self.random.getrandbits(64):016x}"
         job = self.make_job()
+        if self.deadly_random.random() < self.deadly_share and not job.lasting:
+            job.deadly = self.deadly_random.choice(list(job.tasks(job_id)))
         queue = self.random.choice(list(QUEUES))
         path = f"/{queue}/{job_id}"
         world.jobs[job_id] = job
@@ -197,7 +213,8 @@
             tasks = [world.truth(it) for it in job.tasks(job_id)]
             if state == "completed" and not all(it.done for it in tasks):
                 world.note("MIXED", f"{job_id} is shown as completed")
-            if state == "failed" and max(it.failed for it in tasks) < job.attempts:
+            crashed = bool(job.deadly) and world.truth(job.deadly).crashes >= platform.CRASHES_TO_FAIL
+            if state == "failed" and not crashed and max(it.failed for it in tasks) < job.attempts:
                 world.note("LOST", f"{job_id} is shown as failed")
             if state == "cancelled" and job.cancel_sent_at is None:
                 world.note("LOST", f"{job_id} is shown as cancelled")
@@ -239,11 +256,33 @@
             self.soak.world.note("LOST", f"{job_id} has not ended {SETTLE_S} s after the last fault")
 
 
+class Burst(Client):
+    """Hands many small jobs in at once: their ends fill several of the leader's transactions."""
+
+    def __init__(self, soak, number):
+        super().__init__(soak, number)
+        self.deadly_share = 0.0
+
+    def make_job(self):
+        steps = [{"count": 1, "cpu": 1000, "mem_mb": 50, "est_runtime_ms": self.random.randrange(500, 3000)}]
+        return platform.Job(steps, f"small-{self.random.randrange(1 << 30)}", ATTEMPTS)
+
+    def run(self):
+        while not self.soak.settling:
+            if self.soak.bursting:
+                self.submit()
+            time.sleep(0.02)
+        self.settle()
+
+
 class Soak:
-    def __init__(self, seed, seconds, nodes, machines):
+    def __init__(self, seed, seconds, nodes, machines, deadly_share):
         self.seed = seed
+        self.deadly_share = deadly_share
         self.seconds = seconds
         self.random = random.Random(seed)
+        self.extra_random = random.Random(f"later faults {seed}")  # Other faults keep their schedule.
+        self.bursting = False
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.world = platform.World(seed)
         self.links = links.Links()
@@ -264,6 +303,8 @@
             machine.port = machine.link.port
             self.world.machines[machine.name] = machine
             machine.bring_up()
+        if self.extra_random.random() < 0.5:
+            self.world.unguarded.add("pool-b")
         self.configure()
         self.nodes = [Node(self, i) for i in range(nodes)]
 
@@ -279,8 +320,8 @@
                   for q, s in QUEUES.items()]
         if self.random.random() < 0.5:
             routes.append(routes[0] | {"name": "q-extra", "path_prefix": "/q-extra/"})
-        services = [{"name": "pool-a", "enforces_capacity": True},
-                    {"name": "pool-b", "enforces_capacity": True}, {"name": "spare", "headroom": True}]
+        services = [{"name": it, "enforces_capacity": it not in self.world.unguarded}
+                    for it in QUEUES.values()] + [{"name": "spare", "headroom": True}]
         self.world.store.put("op", "", "config", json.dumps(
             {"version": self.version, "routes": routes, "services": services, "limits": {}}))
 
@@ -289,7 +330,12 @@
             with self.world.lock:
                 for machine in self.world.machines.values():
                     machine.tick()
+            now, store = self.world.now(), self.world.store
+            if store.is_disturbed():
+                self.world.disturbed_at = dict.fromkeys((it.name for it in self.nodes), now)
             for node in self.nodes:
+                if node.is_disturbed():
+                    self.world.disturbed_at[node.name] = now
                 if node.process and not node.expected_end and node.process.poll() is not None:
                     self.world.note("FAULT", f"{node.name} ended with {node.process.returncode}")
                     node.expected_end = True
@@ -302,7 +348,7 @@
 
     def leader(self):
         """The node that holds the lease by the store's row; any node when it is free."""
-        row = self.world.store.rows.get(("lead", "main", "lease"))
+        row = self.world.store.rows.get(platform.LEASE)
         for node in self.nodes:
             if row and f'"{node.name}"' in row[0]:
                 return node
@@ -367,7 +413,7 @@
         store.delay_s = self.random.choice([0.05, 0.2, 0.35])
 
         def end():
-            store.delay_s = 0.003
+            store.delay_s = platform.USUAL_DELAY_S
 
         self.later(self.random.uniform(1, 5), end)
 
@@ -382,6 +428,7 @@
 
     def forget_history(self):
         self.world.store.forget_history()
+        self.world.disturbed_at = dict.fromkeys((it.name for it in self.nodes), self.world.now())
 
     def link_fault(self):
         """Between one node and the platform, or in front of one worker."""
@@ -440,6 +487,53 @@
         self.world.store.put("op", "", f"wave/{self.wave}", json.dumps(
             {"wave": self.wave, "machines": names, "duration_s": 10, "cap": self.random.randint(1, 3)}))
 
+    # Faults that draw from `extra_random`.
+
+    def refuse_then_lose_leader(self):
+        """The store refuses one node or all while many jobs end; the leader is lost upon its return."""
+        store, draw = self.world.store, self.extra_random
+        refused_s, gap_s = draw.uniform(2.0, 4.0), draw.uniform(0.0, LOSS_GAP_S)
+        status, one = draw.choice([503, 429]), draw.random() < 0.3
+        how, lost_s = draw.choice(["kill", "freeze", "cut"]), draw.uniform(1.0, 5.0)
+        self.bursting = True
+
+        def refuse():
+            self.bursting = False
+            store.refused_nodes = {self.leader().name} if one else None
+            store.refusal = status
+
+        def take_again():
+            store.refusal = 0
+
+        def lose():
+            node = self.leader()
+            if how == "kill":
+                node.kill()
+                self.start_later(node, lost_s)
+            elif how == "freeze":
+                node.send(signal.SIGSTOP)
+                self.later(lost_s, lambda: node.send(signal.SIGCONT))
+            else:
+                node.link.held = {"to", "from"}
+                self.later(lost_s, node.link.clear)
+
+        self.later(BURST_S, refuse)
+        self.later(BURST_S + refused_s, take_again)
+        self.later(BURST_S + refused_s + gap_s, lose)
+
+    def resize_worker(self):
+        """In the pool whose workers may not guard their capacity."""
+        machine = self.extra_random.choice(list(self.world.machines.values()))
+        size = self.extra_random.choice(platform.CPU_SIZES)
+        machine.cpu = size if machine.pool == "pool-b" else platform.CPU
+
+    def begin_fault(self, fault):
+        self.world.last_fault = self.world.now()
+        self.count(f"fault {fault.__name__}")
+        with open(self.dir / "faults.log", "a") as log:
+            log.write(f"{self.world.now():.2f} {fault.__name__} leader={self.leader().name}\n")
+        fault()
+
     def play(self):
         faults = [self.kill_node, self.kill_node, self.pause_node, self.pause_node, self.stop_in_turn,
                   self.reload_series, self.store_fault, self.store_fault, self.store_slow, self.store_loses,
@@ -449,6 +543,8 @@
         rare = {self.kill_all: 0.4}
         end = time.monotonic() + self.seconds
         next_fault = time.monotonic() + 2
+        next_refusal = time.monotonic() + self.extra_random.uniform(2, 5)
+        next_size = time.monotonic() + 2
         while time.monotonic() < end:
             now = time.monotonic()
             due = [it for it in self.schedule if it[0] <= now]
@@ -459,12 +555,14 @@
             if now >= next_fault:
                 fault = self.random.choice(faults)
                 if self.random.random() < rare.get(fault, 1):
-                    self.world.last_fault = self.world.now()
-                    self.count(f"fault {fault.__name__}")
-                    with open(self.dir / "faults.log", "a") as log:
-                        log.write(f"{self.world.now():.2f} {fault.__name__} leader={self.leader().name}\n")
-                    fault()
+                    self.begin_fault(fault)
                 next_fault = now + self.random.uniform(0.2, 2.0)
+            if now >= next_refusal:
+                self.begin_fault(self.refuse_then_lose_leader)
+                next_refusal = now + self.extra_random.uniform(7, 10)
+            if now >= next_size:
+                self.resize_worker()
+                next_size = now + self.extra_random.uniform(0.5, 2.0)
             time.sleep(0.02)
 
     def calm(self):
@@ -473,7 +571,8 @@
             action()
         self.schedule = []
         store = self.world.store
-        store.fault, store.delay_s = "", 0.003
+        store.fault, store.delay_s, store.refusal = "", platform.USUAL_DELAY_S, 0
+        self.bursting = False
         store.lost_answers = store.late_writes = self.world.lost_orders = 0.0
         for thread in self.threads:
             thread.join(GRACE_S + 5)
@@ -484,6 +583,7 @@
                 node.start()
         for machine in self.world.machines.values():
             machine.link.clear()
+            machine.cpu = platform.CPU
             if machine.life:
                 machine.life.fails_all = machine.life.stands_still = machine.life.draining = False
         self.schedule = []
@@ -498,6 +598,7 @@
                 node.start()
             time.sleep(1.5)
             clients = [Client(self, i) for i in range(CLIENTS)]
+            clients += [Burst(self, CLIENTS + i) for i in range(BURST_CLIENTS)]
             for it in clients:
                 it.start()
             self.play()
@@ -505,8 +606,12 @@
             self.settling = True
             for it in clients:
                 it.join(SETTLE_S + 15)
+            stops = [threading.Thread(target=it.stop) for it in self.nodes]
+            for it in stops:
+                it.start()
+            for it in stops:
+                it.join()
             for node in self.nodes:
-                node.stop()
                 if node.process.returncode != 0:
                     self.world.note("FAULT", f"{node.name} stopped with {node.process.returncode}")
         finally:
@@ -523,14 +628,17 @@
         starts = sum(it.starts for it in self.world.truths.values())
         logs = [(self.dir / f"{it.name}.log").read_text(errors="replace") for it in self.nodes]
         terms = sum(it.count("event=lease_taken") for it in logs)
+        crashes = [self.world.truth(it.deadly).crashes for it in self.world.jobs.values() if it.deadly]
         print(f"seed {self.seed}: {accepted} of {len(self.world.jobs)} jobs accepted, {starts} starts, "
-              f"{terms} leaders, {len(self.world.broken)} promises broken", flush=True)
+              f"{terms} leaders, {len(crashes)} deadly tasks ({max(crashes, default=0)} crashes at most), "
+              f"{len(self.world.broken)} promises broken", flush=True)
         for it in self.world.broken[:20]:
             print(f"  {it}", flush=True)
         if not self.world.broken and "HEMLOCKWARD_KEEP_LOGS" not in os.environ:
             shutil.rmtree(self.dir, ignore_errors=True)
         else:
             (self.dir / "counts.json").write_text(json.dumps(self.counts, indent=1))
+            (self.dir / "crashes.log").write_text("".join(f"{it}\n" for it in self.world.crashes))
             print(f"  logs: {self.dir}", flush=True)
         return not self.world.broken
 
@@ -541,12 +649,14 @@
     parser.add_argument("--seconds", type=float, default=20, help="how long faults come")
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--machines", type=int, default=9)
+    parser.add_argument("--deadly", type=float, default=0.03,
+                        help="share of jobs with a task that crashes each worker that starts it")
     args = parser.parse_args()
     seeds = []
     for part in args.seeds.split(","):
         first, _, last = part.partition("-")
         seeds += range(int(first), int(last or first) + 1)
-    results = [Soak(it, args.seconds, args.nodes, args.machines).run() for it in seeds]
+    results = [Soak(it, args.seconds, args.nodes, args.machines, args.deadly).run() for it in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     return 0 if all(results) else 1
 
--- a/tests/soak/users_platform.py
+++ b/tests/soak/users_platform.py
@@ -18,13 +18,22 @@
 ENTRY_LIFE_S = 3 * HEARTBEAT_S
 HISTORY_ROWS = 4000
 PAGE_ROWS = 500
+LEASE = ("lead", "main", "lease")  # The row that names the leader.
 STOP_GRACE_S = 0.15
 CANCEL_S = 3.0
 TURN_S = 3.0
 MOST_ENDS = 500
 CPU = 16000
+CPU_SIZES = (5000, 7000, 10000, 16000, 20000)
+CONTACT_S = 3.0
+BACK_S = (0.5, 4.0)  # A crashed machine's time until its next worker.
+CRASHES_IN_BUDGET = 3  # Workers crashed under a task from which on its starts count.
+STARTS_OVER_BUDGET = 3
+CRASHES_TO_FAIL = 2  # Workers crashed under a task from which on its job may be given up.
+ANSWER_S = 0.05  # Until the leader has read an answer.
 MEMORY_MB = 64000
 TICK_S = 0.02
+USUAL_DELAY_S = 0.003
 
 
 class Truth:
@@ -36,6 +45,8 @@
         self.done_noted = False
         self.failed = 0
         self.failed_noted = 0
+        self.crashes = 0  # Workers that it has crashed.
+        self.starts_since = 0  # By machines in touch, after CRASHES_IN_BUDGET of them.
 
 
 class End:
@@ -57,6 +68,7 @@
         self.attempts = attempts
         self.poison = poison
         self.lasting = lasting
+        self.deadly = ""  # The task that crashes each worker that starts it.
         self.accepted_at = None
         self.cancel_sent_at = None
         self.cancelled_at = None
@@ -73,12 +85,16 @@
 class World:
     def __init__(self, seed):
         self.random = random.Random(seed)
+        self.crash_random = random.Random(f"crashes {seed}")
+        self.unguarded = set()  # Pools whose workers start whatever they are told to.
+        self.disturbed_at = {}  # By node: when a fault last concerned it or the store.
         self.lock = threading.RLock()
         self.begin = time.monotonic()
         self.jobs = {}
         self.truths = {}
         self.machines = {}
         self.broken = []
+        self.crashes = []  # Lines on the workers that tasks have crashed.
         self.last_fault = 0.0
         self.lost_orders = 0.0  # Share of orders that get no answer.
         self.late_orders = 0.0  # Share of those that are carried out seconds later.
@@ -98,6 +114,28 @@
     def truth(self, task):
         return self.truths.setdefault(task, Truth())
 
+    def is_in_touch(self, node):
+        return self.now() - self.disturbed_at.get(node, self.now()) > CONTACT_S
+
+    def check_deadly(self, worker, task, fence, sent_at):
+        """A task that crashes its worker is started."""
+        truth = self.truth(task)
+        late = time.monotonic() - sent_at > TICK_S  # Such an order has no time bound.
+        holder = self.store.holder(fence)
+        if truth.crashes >= CRASHES_IN_BUDGET and not late and self.is_in_touch(holder):
+            truth.starts_since += 1
+            if truth.starts_since >= STARTS_OVER_BUDGET:
+                self.note("BUDGET", f"{holder} starts {task}, which has crashed {truth.crashes} workers")
+        truth.crashes += 1
+        self.crashes.append(f"{self.now():.2f} {worker.id} {task} late={late} holder={holder}")
+        self.last_fault = self.now()
+
+    def check_room(self, worker, task, cpu, sent_at):
+        """A worker that doesn't guard its capacity starts a task."""
+        used = sum(it.cpu for it in worker.active.values())
+        if used + cpu > worker.most_cpu(sent_at):
+            self.note("LIMIT", f"{task} of {cpu} starts on {worker.id} of {worker.cpu()} beside {used}")
+
     def check_start(self, worker, task, body):
         """A worker begins a task: every promise on starts."""
         job_id, _, step, _ = task.split(".")
@@ -161,9 +199,20 @@
         self.forgotten = 0
         self.fault = ""  # "", "busy", "silent", "reset"
         self.fault_nodes = None  # None: all nodes.
-        self.delay_s = 0.003
+        self.delay_s = USUAL_DELAY_S
         self.lost_answers = 0.0
         self.late_writes = 0.0
+        self.refusal = 0  # The status that refused nodes get.
+        self.refused_nodes = None  # None: all nodes.
+        self.holders = []  # Of the lease: (version, node), from each version on.
+
+    def is_disturbed(self):
+        return bool(self.fault or self.refusal or self.lost_answers or self.late_writes or
+                    self.delay_s > USUAL_DELAY_S)
+
+    def holder(self, fence):
+        """The node whose orders carry that fence."""
+        return next((node for version, node in reversed(self.holders) if version <= fence), None)
 
     def put(self, table, part, key, value):
         """A write of the platform's own."""
@@ -175,6 +224,10 @@
         for table, part, key, value in writes:
             self.rows[table, part, key] = (value, self.version)
             self.history.append((self.version, table, part, key, value))
+            if (table, part, key) == LEASE:
+                holder = json.loads(value)["holder"]
+                if not self.holders or self.holders[-1][1] != holder:
+                    self.holders.append((self.version, holder))
         for table, part, key in removed:
             if self.rows.pop((table, part, key), None) is not None:
                 self.history.append((self.version, table, part, key, None))
@@ -267,6 +320,8 @@
 
     def serve(self, node, method, path, query, body):
         """A node's call; None: the connection ends without an answer."""
+        if self.refusal and (self.refused_nodes is None or node in self.refused_nodes):
+            return self.refusal, {}
         hit = self.fault and (self.fault_nodes is None or node in self.fault_nodes)
         if hit and self.fault == "busy":
             return 503, {}
@@ -301,8 +356,14 @@
 class Life:
     """One incarnation of a machine's worker."""
 
-    def __init__(self, world, worker_id):
+    def __init__(self, machine, worker_id):
+        world = machine.world
         self.world = world
+        self.machine = machine
+        self.reports = machine.reports  # Of capacities: (time, cpu), under this id.
+        self.reports.append((time.monotonic(), machine.cpu))
+        self.first_report = len(self.reports) - 1
+        self.listed_at = {}  # By fence: when its leader first learned of this life.
         self.id = worker_id
         self.born = int(time.time() * 1000)
         self.clock_rate = world.random.uniform(0.98, 1.0)
@@ -322,6 +383,18 @@
     def clock(self):
         return self.clock_base + int((time.monotonic() - self.began) * 1000 * self.clock_rate)
 
+    def cpu(self):
+        return self.reports[-1][1]
+
+    def most_cpu(self, sent_at):
+        """The largest capacity that an order may rely on. A smaller one counts CONTACT_S and a
+        heartbeat later; that of an earlier life doesn't once the leader knows of this one."""
+        since = sent_at - CONTACT_S - HEARTBEAT_S
+        known = sent_at > self.listed_at.get(self.fence, sent_at) + ANSWER_S
+        reports = self.reports[self.first_report if known else 0:]
+        last = max(i for i, it in enumerate(reports) if it[0] <= since or i == 0)
+        return max(it[1] for it in reports[last:])
+
     def end(self, task, how):
         run = self.active.pop(task)
         self.barred[task] = max(self.barred.get(task, 0), run.number)
@@ -354,7 +427,7 @@
     def refusal(self, reason):
         return 409, {"clock_ms": self.clock(), "reason": reason}
 
-    def start(self, body):
+    def start(self, body, sent_at):
         world, task, number = self.world, body["task"], body["run"]
         if body.get("fencing_token", 0) < self.fence:
             return self.refusal("fence")
@@ -369,16 +442,22 @@
             return self.refusal("old")
         job = world.jobs.get(task.split(".")[0])
         step = job.steps[int(task.split(".")[2])] if job else {"cpu": 0, "est_runtime_ms": 100}
-        if sum(it.cpu for it in self.active.values()) + step["cpu"] > CPU:
+        if self.machine.pool in world.unguarded:
+            world.check_room(self, task, step["cpu"], sent_at)
+        elif sum(it.cpu for it in self.active.values()) + step["cpu"] > self.cpu():
             return self.refusal("room")
         world.check_start(self, task, body)
+        if job and job.deadly == task:
+            world.check_deadly(self, task, self.fence, sent_at)
+            self.machine.crash()
+            return None
         length = step["est_runtime_ms"] / 1000 * world.random.uniform(0.7, 1.4)
         ends_at = None if job and job.lasting else time.monotonic() + length
         fails = bool(job and job.poison) or world.random.random() < 0.02
         self.active[task] = Run(number, ends_at, fails, step["cpu"])
         return 200, {"clock_ms": self.clock()}
 
-    def stop(self, body):
+    def stop(self, body, _):
         if body.get("fencing_token", 0) < self.fence:
             return self.refusal("fence")
         self.fence = body.get("fencing_token", 0)
@@ -403,6 +482,7 @@
         while not self.ended and time.monotonic() < until:
             self.changed.wait(until - time.monotonic())
         now = time.monotonic()
+        self.listed_at.setdefault(self.fence, now)
         active = []
         for task, run in self.active.items():
             share = 1.0 if run.ends_at is None else (now - run.began) / (run.ends_at - run.began)
@@ -423,11 +503,15 @@
         self.home = pool
         self.lives = 0
         self.life = None
+        self.link = None  # In front of its worker.
+        self.cpu = CPU  # From its worker's next report on.
         self.seq = 0
         self.beat_at = 0.0
         self.upkeeps = set()
         self.upkeep_of = 0
         self.port = 0  # Of the link in front of its worker.
+        self.reports = []
+        self.keeps_id = False  # Its next worker comes back under the last one's id.
 
     def bring_up(self, keep_id=False):
         if self.pool == "spare":
@@ -435,7 +519,8 @@
             return
         if not keep_id:
             self.lives += 1
-        self.life = Life(self.world, f"w-{self.name}-{self.lives}")
+            self.reports = []
+        self.life = Life(self, f"w-{self.name}-{self.lives}")
         self.state, self.beat_at, self.seq = "up", 0.0, 0
 
     def take_down(self, state, back_in_s):
@@ -451,6 +536,13 @@
         drop.daemon = True
         drop.start()
 
+    def crash(self):
+        """The worker ends without a word; a new one comes."""
+        draw = self.world.crash_random
+        self.take_down("down", draw.uniform(*BACK_S))
+        self.keeps_id = draw.random() < 0.3
+        self.link.reset()
+
     def _forget(self, worker_id):
         with self.world.lock:
             if self.life is None or self.life.id != worker_id:
@@ -460,13 +552,16 @@
         now = time.monotonic()
         if self.back_at is not None and now >= self.back_at:
             self.back_at, self.upkeep_of = None, 0
-            self.bring_up()
+            keep_id, self.keeps_id = self.keeps_id, False
+            self.bring_up(keep_id)
         if self.life is None:
             return
         self.life.tick()
         if now - self.beat_at >= HEARTBEAT_S:
             self.beat_at = now
             self.seq += 1
+            if self.cpu != self.life.cpu():
+                self.life.reports.append((now, self.cpu))
             self.world.store.put("servers", "", self.life.id, json.dumps(self.entry()))
 
     def entry(self):
@@ -474,11 +569,11 @@
                 "version": "1", "slots": 8, "cold_left_ms": 0, "seq": self.seq,
                 "state": "draining" if self.life.draining else "ready", "born": self.life.born,
                 "labels": ["k-a", "r-1"], "machine": self.name,
-                "capacity": {"cpu": CPU, "mem_mb": MEMORY_MB}}
+                "capacity": {"cpu": self.life.cpu(), "mem_mb": MEMORY_MB}}
 
     def listing(self):
         return {"machine": self.name, "pool": self.pool, "state": self.state, "zone": "z1",
-                "labels": ["k-a", "r-1"], "capacity": {"cpu": CPU, "mem_mb": MEMORY_MB},
+                "labels": ["k-a", "r-1"], "capacity": {"cpu": self.cpu, "mem_mb": MEMORY_MB},
                 "id": self.life.id if self.life else ""}
 
     def serve(self, _, method, path, query, body, expect):
@@ -491,14 +586,17 @@
             return 421, {}
         if path == "/v1/hold":
             with world.lock:
-                return life.hold(body)
+                answer = life.hold(body)
+                return answer if self.life is life else None
         action = {"/v1/run-start": life.start, "/v1/run-stop": life.stop}.get(path)
         if action is None:
             return (200, {"clock_ms": life.clock()}) if path == "/v1/pace" else (404, {})
 
+        sent_at = time.monotonic()
+
         def carry_out():
             with world.lock:
-                return action(body) if self.life is life else None
+                return action(body, sent_at) if self.life is life else None
 
         if world.random.random() < world.lost_orders:
             if world.random.random() < world.late_orders:
