One suspect's job at a time is announced on an empty worker

Six tasks that must run alone were announced on the same empty worker in one plan; none of them started there. Another task crashed it, and the next leader counted a known crash under each of the six: losses=4 crashed_workers=3. Cause: a run that is only announced takes no room, so one plan could announce any number of suspects on one worker. Evidence: CrashTest.OneTaskIsAnnouncedOnAnEmptyWorker failed before: "Expected: (FirstTask("a").crashes.announced_run != 0) != (FirstTask("b").crashes.announced_run != 0), actual: true vs true". Change: the worker is reserved for the first of them, for 0.5 s, which is longer than the commit takes; the others are announced on other workers or wait for the next plan. Weighed: nothing else starts there either (two tests of full pools expect that tasks that needn't be alone take the room); a run that was only announced doesn't count (a task that crashes its workers beside lost leaders would then be started too often). Measured: jobs_{crashes,suspects,workers,durability,scheduler,world}_test pass. One crash of an announced run that never started can still count.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -25,6 +25,9 @@
 // Once its lease has run out, a crashed worker has been replaced; the store
 // lists the new one within 2 s of its own return.
 constexpr Millis kEvidenceWait = base::Seconds(2);
+// A run starts on the worker that it was announced on when that is stored: a
+// healthy store takes 10 ms.
+constexpr Millis kReservation{500};
 // Fractions of the tail latency target at which filling tasks are slowed down
 // or sped up.
 constexpr double kTailHigh = 0.85;
@@ -154,6 +157,9 @@
     return false;
   }
   if (must_be_alone) {
+    if (now < worker.reserved_until && worker.reserved_for != job.id) {
+      return false;
+    }
     const bool waited = HasWaitedForAnEmptyWorker(task, now);
     if (waited ? !IsAlone(worker, job) : !HasOnlyRunsOf(worker, job)) {
       return false;
@@ -294,7 +300,13 @@
     return false;
   }
   Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
-  if (!AnnounceRun(job, task, number, worker->entry.id)) return false;
+  if (!AnnounceRun(job, task, number, worker->entry.id)) {
+    if (task.crashes.suspicion() == Suspicion::kRunAlone) {
+      worker->reserved_until = now + kReservation;
+      worker->reserved_for = job.id;
+    }
+    return false;
+  }
   AddStart(job, queue, id, number, *worker, pool, orders, now);
   return true;
 }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -157,6 +157,10 @@
   /// Until then, only tasks of this job and such that must run alone start.
   Millis kept_free_until{0};
   std::string kept_free_for;
+  /// Until then, no other task that must run alone is announced here but those
+  /// of this job: a crash would count against each of them.
+  Millis reserved_until{0};
+  std::string reserved_for;
   Millis refused_until{0};
   std::int64_t started_at_ms = 0;
   /// The same of the incarnation in its row; 0: unknown.
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -74,6 +74,27 @@
   EXPECT_EQ(task.crashes.suspicion(), Suspicion::kRunAlone);
 }
 
+TEST_F(CrashTest, OneTaskIsAnnouncedOnAnEmptyWorker) {
+  AddVms(1);
+  Submit("a", OneStep(Step(1, 1000)));
+  Submit("b", OneStep(Step(1, 1000)));
+  const auto losses = [this](const char* job) {
+    return FirstTask(job).crashes.lost_runs.size();
+  };
+  for (int i = 0; i < 9 && (losses("a") < 2 || losses("b") < 2); ++i) {
+    Plan();
+    Commit();
+    Started(Plan());
+    Restart("vm1");
+  }
+  ASSERT_EQ(losses("a"), 2U);
+  ASSERT_EQ(losses("b"), 2U);
+  Plan();
+  Commit();
+  EXPECT_NE(FirstTask("a").crashes.announced_run != 0,
+            FirstTask("b").crashes.announced_run != 0);
+}
+
 TEST_F(CrashTest, TaskLostWithTwoWorkersRunsAlone) {
   AddVms(3);
   Submit("a", OneStep(Step(1, 1000)));
