--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -276,7 +276,7 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, nodes, machines, deadly_share):
+    def __init__(self, seed, seconds, nodes, machines, deadly_share=0.0):
         self.seed = seed
         self.deadly_share = deadly_share
         self.seconds = seconds
