--- a/tests/system/late_registrations_test.py
+++ b/tests/system/late_registrations_test.py
@@ -17,6 +17,7 @@
 
 import soak  # noqa: E402
 import users_platform as platform  # noqa: E402
+import users_store  # noqa: E402
 
 DRAIN_S = 2.0
 SLACK_S = 0.1  # For the scheduling of this process.
@@ -44,7 +45,7 @@
         if begin < self.silent_from:
             time.sleep(2 * WATCH_S)
             return None
-        if len(answer[1].get("rows", [])) == platform.PAGE_ROWS:
+        if len(answer[1].get("rows", [])) == users_store.PAGE_ROWS:
             time.sleep(PAGE_S)
         return answer
 
