--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -223,7 +223,8 @@
   peers_.OnReport(check.peers, check.strengths, now);
   peers_.Expire(now);
   if (!check.config.empty()) {
-    ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config});
+    ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config},
+                     check.sender);
   }
   const auto lease = DecodeLease(check.lease);
   if (!lease) return is_new;
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -113,6 +113,8 @@
   set("hemlockward_renewal_age_ms",
       leads_ ? (clock_.Now() - renewed_).count : 0);
   set("hemlockward_configuration_version", config_.version);
+  set("hemlockward_operator_rows_age_ms",
+      (clock_.Now() - operator_rows_as_of_).count);
   set("hemlockward_idle_connections", http_.idle_connections());
   set("hemlockward_jobs", scheduler_.job_count());
   set("hemlockward_runs", scheduler_.run_count());
@@ -153,6 +155,7 @@
         .With("method", method)
         .With("status", reply.status)
         .With("reason", reply.body)
+        .With("config", config_.version)
         .With("retry_after_s", reply.retry_after_s)
         .With("leads", leads_)
         .With("term", lease_.lease ? lease_.lease->term : 0)
@@ -202,13 +205,18 @@
 Awaitable<void> NodeProcess::ReadOperatorTable() {
   TableRead read;
   read.table = platform::kOperatorTable;
-  read.apply = [this](const platform::StoreRow& row) { ApplyOperatorRow(row); };
+  read.apply = [this](const platform::StoreRow& row) {
+    ApplyOperatorRow(row, "read");
+  };
   read.may_continue = [] { return true; };
+  const Millis sent = clock_.Now();
   const auto version = co_await ReadTable(platform_, std::move(read));
   operator_version_ = std::max(operator_version_, version.value_or(0));
+  operator_rows_as_of_ = std::max(operator_rows_as_of_, sent);
 }
 
-void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row) {
+void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row,
+                                   std::string_view source) {
   const std::string_view key = row.key;
   if (key == platform::kConfigKey) {
     auto config = platform::DecodeConfiguration(row.value);
@@ -223,7 +231,9 @@
     LogLine(LogLevel::kInfo, "configuration")
         .With("version", config->version)
         .With("before", config_.version)
-        .With("queues", config->queues.size());
+        .With("queues", config->queues.size())
+        .With("source", source)
+        .With("row_version", row.version);
     config_ = *std::move(config);
     config_source_ = row.value;
     config_received_ = clock_.Now();
@@ -258,6 +268,7 @@
       read = true;
       continue;
     }
+    const Millis sent = clock_.Now();
     auto page = co_await platform_.Changes(platform::kOperatorTable,
                                            operator_version_, kFeedWait);
     if (!page) {
@@ -265,12 +276,16 @@
           page.error().failure == platform::CallFailure::kHistoryLost;
       LogLine(LogLevel::kWarning, "operator_feed_lost")
           .With("after", operator_version_)
+          .With("ms", (clock_.Now() - sent).count)
           .With("error", page.error().what);
       read = false;
       if (!lost) co_await kernel::Sleep(kRetryPause);
       continue;
     }
-    for (const platform::StoreRow& it : page->rows) ApplyOperatorRow(it);
+    for (const platform::StoreRow& it : page->rows) {
+      ApplyOperatorRow(it, "feed");
+    }
+    operator_rows_as_of_ = std::max(operator_rows_as_of_, sent);
     operator_version_ = std::max(operator_version_, page->version);
   }
 }
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -93,7 +93,8 @@
   // Every node (process.cc).
   Awaitable<void> FollowOperatorTable();
   Awaitable<void> ReadOperatorTable();
-  void ApplyOperatorRow(const platform::StoreRow& row);
+  /// `source`: how the row came here, for the log.
+  void ApplyOperatorRow(const platform::StoreRow& row, std::string_view source);
   Awaitable<void> Stop();
   void SetGauges();
   Awaitable<kernel::HttpResponse> ServeReadiness(kernel::HttpRequest request);
@@ -227,6 +228,8 @@
   Millis config_received_{0};
   std::map<int, jobs::WaveOrder> waves_;
   std::uint64_t operator_version_ = 0;
+  /// The operator's rows are known as they were at this time.
+  Millis operator_rows_as_of_{0};
 
   // Leadership.
   LeaseView lease_;
