--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -42,6 +42,15 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
+    def silence(self):
+        """Open connections pass nothing any more, for good; new ones work."""
+        self.was_reset = True
+        self.links.loop.call_soon_threadsafe(self._silence)
+
+    def _silence(self):
+        for writer in self.writers:
+            writer.transport.pause_reading()
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         other = None
