Connections that went silent together cost one call, not one each

Callers saw: calls to the store or to a peer time out one after another.

Cause: a call that times out ends its own connection only, although a path that loses the state of one connection usually loses that of all.

Evidence: OnlyOneCallIsLostOnConnectionsThatWentSilentTogether (HTTP client and peer client) failed before: the second call timed out as well.

Now a timeout on a reused connection closes the idle ones to that address which weren't used since the call began. Those that were used are known to work and stay, also after a long poll.

--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -352,6 +352,8 @@
   /// Closes the least recently used connection to an address. The caller holds
   /// the mutex.
   void CloseIdle(IdleConnections::iterator connection);
+  /// Closes the idle connections to `address` that weren't used after `time`.
+  void CloseIdleSince(const std::string& address, base::Millis time);
   asio::awaitable<tl::expected<HttpResponse, HttpError>> SendRequest(
       std::string address, HttpRequest request, base::Millis timeout,
       std::function<bool()> may_send, base::Millis header_timeout,
@@ -389,6 +391,16 @@
   idle.erase(connection);
 }
 
+void HttpClient::State::CloseIdleSince(const std::string& address,
+                                       base::Millis time) {
+  const std::lock_guard lock(mutex);
+  auto it = idle_by_address.find(address);
+  while (it != idle_by_address.end() && it->second.front()->since <= time) {
+    CloseIdle(it->second.front());
+    it = idle_by_address.find(address);
+  }
+}
+
 void HttpClient::State::StoreIdleConnection(
     const std::string& address, std::unique_ptr<beast::tcp_stream> stream) {
   stream->expires_never();
@@ -415,7 +427,14 @@
                                std::unique_ptr<beast::tcp_stream> stream) {
   error_code ec;
   const bool connected = stream->socket().is_open();
-  const base::Millis deadline = clock.Now() + timeout;
+  const base::Millis begin = clock.Now();
+  const base::Millis deadline = begin + timeout;
+  // A path that lost the state of one connection usually lost that of all.
+  const auto failure_of = [&](error_code error) {
+    if (error != beast::error::timeout) return HttpFailure::kBroken;
+    if (connected) CloseIdleSince(address, begin);
+    return HttpFailure::kTimeout;
+  };
   if (!connected) {
     stream->expires_after(std::min(timeout, kConnectTimeout).ToChrono());
     co_await stream->async_connect(ParseEndpoint(address), Redirect(ec));
@@ -440,9 +459,7 @@
   stream->expires_after((deadline - clock.Now()).ToChrono());
   co_await http::async_write(*stream, message, Redirect(ec));
   if (ec) {
-    const auto failure = ec == beast::error::timeout ? HttpFailure::kTimeout
-                                                     : HttpFailure::kBroken;
-    co_return tl::unexpected(HttpError{failure, ec.message()});
+    co_return tl::unexpected(HttpError{failure_of(ec), ec.message()});
   }
 
   beast::flat_buffer buffer;
@@ -466,9 +483,7 @@
     buffer.reserve(std::min(rest, kMaxReadBytes));
   }
   if (ec) {
-    const auto failure = ec == beast::error::timeout ? HttpFailure::kTimeout
-                                                     : HttpFailure::kBroken;
-    co_return tl::unexpected(HttpError{failure, ec.message()});
+    co_return tl::unexpected(HttpError{failure_of(ec), ec.message()});
   }
   const bool length_known =
       parser.content_length().has_value() || parser.chunked() ||
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -121,10 +121,12 @@
   [[nodiscard]] std::size_t idle_connections() const;
   /// Sends one request and returns the complete response; a response of unknown
   /// length is an error. Idle connections that the server has closed are
-  /// discarded before use. `may_send`, if given, is called once the connection
-  /// is established, right before the first byte is sent; if it returns false,
-  /// the call fails with kNotSent. If `header_timeout` isn't 0, the header of
-  /// the response must arrive within that time after the request was sent.
+  /// discarded before use, and those to an address where a call on such a
+  /// connection has timed out, unless they were used after it was sent.
+  /// `may_send`, if given, is called once the connection is established, right
+  /// before the first byte is sent; if it returns false, the call fails with
+  /// kNotSent. If `header_timeout` isn't 0, the header of the response must
+  /// arrive within that time after the request was sent.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
       std::string address, HttpRequest request, base::Millis timeout,
       std::function<bool()> may_send = {}, base::Millis header_timeout = {0});
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -272,6 +272,8 @@
 
   ConnectionPtr TakeIdle(const std::string& address);
   void ReturnIdle(const std::string& address, ConnectionPtr connection);
+  /// Closes the idle connections to `address` that weren't used after `time`.
+  void CloseIdleSince(const std::string& address, Millis time);
   asio::awaitable<tl::expected<gen::Message, PeerError>> Exchange(
       std::string address, std::string frame, Millis timeout,
       ConnectionPtr connection);
@@ -303,13 +305,23 @@
   list.push_back(std::move(connection));
 }
 
+void PeerClient::State::CloseIdleSince(const std::string& address,
+                                       Millis time) {
+  const std::lock_guard lock(mutex);
+  std::erase_if(idle[address], [time](const ConnectionPtr& it) {
+    return it->idle_since <= time;
+  });
+}
+
 // Sends one call and reads its reply, on the strand of the connection.
 asio::awaitable<tl::expected<gen::Message, PeerError>>
 PeerClient::State::Exchange(std::string address, std::string frame,
                             Millis timeout, ConnectionPtr connection) {
   error_code ec;
+  const Millis begin = clock.Now();
+  const bool connected = connection->socket.is_open();
   connection->SetDeadline(timeout);
-  if (!connection->socket.is_open()) {
+  if (!connected) {
     co_await connection->socket.async_connect(kernel::ParseEndpoint(address),
                                               Redirect(ec));
     if (ec) {
@@ -328,6 +340,8 @@
   if (ec) {
     const PeerFailure failure =
         connection->expired ? PeerFailure::kTimeout : PeerFailure::kBroken;
+    // A path that lost the state of one connection usually lost that of all.
+    if (connection->expired && connected) CloseIdleSince(address, begin);
     co_return tl::unexpected(PeerError{failure, ec.message()});
   }
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <thread>
 
 #include "blocking.h"
@@ -129,6 +131,69 @@
   EXPECT_EQ(result.error().failure, HttpFailure::kNotSent);
 }
 
+// Answers one request on each connection; then those connections are silent and
+// new ones are answered in full.
+class SilencedServer {
+ public:
+  explicit SilencedServer(std::size_t silenced)
+      : silenced_(silenced),
+        acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+        thread_([this] { Run(); }) {}
+  ~SilencedServer() {
+    stopping_ = true;
+    asio::ip::tcp::socket socket(context_);
+    socket.connect(acceptor_.local_endpoint());
+  }
+  std::string Address() {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Run() {
+    std::vector<asio::ip::tcp::socket> open;
+    while (true) {
+      open.push_back(acceptor_.accept());
+      if (stopping_) return;
+      std::string request(1000, '\0');
+      open.back().read_some(asio::buffer(request));
+      // The first ones are answered together, so that none is used twice.
+      if (open.size() < silenced_) continue;
+      const std::size_t first = open.size() == silenced_ ? 0 : open.size() - 1;
+      for (std::size_t i = first; i < open.size(); ++i) {
+        asio::write(open[i],
+                    asio::buffer(std::string_view(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+      }
+    }
+  }
+
+  std::size_t silenced_;
+  std::atomic<bool> stopping_{false};
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::jthread thread_;
+};
+
+TEST_F(HttpTest, OnlyOneCallIsLostOnConnectionsThatWentSilentTogether) {
+  constexpr std::size_t kIdle = 4;
+  SilencedServer server(kIdle);
+  std::vector<std::future<tl::expected<HttpResponse, HttpError>>> first;
+  for (std::size_t i = 0; i < kIdle; ++i) {
+    first.push_back(asio::co_spawn(
+        pool_.context(),
+        client_.Call(server.Address(), HttpRequest{}, base::Seconds(10)),
+        asio::use_future));
+  }
+  for (auto& it : first) ASSERT_TRUE(it.get());
+  ASSERT_EQ(client_.idle_connections(), kIdle);
+  const auto call = [&] {
+    return tests::RunBlocking(
+        pool_, client_.Call(server.Address(), HttpRequest{}, {200}));
+  };
+  EXPECT_FALSE(call());
+  EXPECT_TRUE(call());
+}
+
 // Workers come and go, each with an address of its own.
 TEST(HttpClientTest, IdleConnectionsToManyAddressesAreLimited) {
   constexpr std::size_t kAddresses = 5;
--- a/tests/peer_transport_test.cc
+++ b/tests/peer_transport_test.cc
@@ -1,10 +1,17 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -94,6 +101,70 @@
   ASSERT_TRUE(reply) << reply.error().what;
 }
 
+// Forwards connections to the server until they are silenced.
+class Relay {
+ public:
+  explicit Relay(std::uint16_t target)
+      : target_(asio::ip::address_v4::loopback(), target),
+        acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
+    asio::co_spawn(context_, Accept(), asio::detached);
+    thread_ = std::jthread([this] { context_.run(); });
+  }
+  ~Relay() { context_.stop(); }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  void SilenceOpenConnections() { silent_up_to_ = accepted_.load(); }
+
+ private:
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto from = std::make_shared<asio::ip::tcp::socket>(
+          co_await acceptor_.async_accept(asio::use_awaitable));
+      auto to = std::make_shared<asio::ip::tcp::socket>(context_);
+      co_await to->async_connect(target_, asio::use_awaitable);
+      const int number = ++accepted_;
+      asio::co_spawn(context_, Pump(from, to, number), asio::detached);
+      asio::co_spawn(context_, Pump(to, from, number), asio::detached);
+    }
+  }
+  asio::awaitable<void> Pump(std::shared_ptr<asio::ip::tcp::socket> from,
+                             std::shared_ptr<asio::ip::tcp::socket> to,
+                             int number) {
+    std::array<char, 4096> buffer{};
+    while (true) {
+      const std::size_t n = co_await from->async_read_some(asio::buffer(buffer),
+                                                           asio::use_awaitable);
+      if (number <= silent_up_to_) continue;
+      co_await asio::async_write(*to, asio::buffer(buffer.data(), n),
+                                 asio::use_awaitable);
+    }
+  }
+
+  asio::io_context context_{1};
+  asio::ip::tcp::endpoint target_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> accepted_{0};
+  std::atomic<int> silent_up_to_{0};
+  std::jthread thread_;
+};
+
+TEST_F(TransportTest, OnlyOneCallIsLostOnConnectionsThatWentSilentTogether) {
+  Relay relay(static_cast<std::uint16_t>(server_->port()));
+  std::vector<std::future<tl::expected<gen::Message, PeerError>>> first;
+  for (int i = 0; i < 4; ++i) {
+    first.push_back(asio::co_spawn(
+        pool_.context(),
+        client_.Call(relay.Address(), Outcome("slow"), base::Seconds(10)),
+        asio::use_future));
+  }
+  for (auto& it : first) ASSERT_TRUE(it.get());
+  relay.SilenceOpenConnections();
+  EXPECT_FALSE(Call(relay.Address(), Outcome("a")));
+  EXPECT_TRUE(Call(relay.Address(), Outcome("b")));
+}
+
 // Each malformed frame closes its connection and reaches no handler.
 TEST_F(TransportTest, MalformedFramesCloseTheConnection) {
   const std::string valid = EncodeMessage(Outcome("key"));
