The operator's rows are confirmed beside the long poll that brings changes

Callers saw: a route that the operator had added seconds before was answered 404 by all nodes (CONFIG), as were changes of every other kind not in force.

Cause: a node learned of changes on one open connection. Nothing told a node how old its knowledge was.

Evidence: system_configuration_behind_silent_feeds and _connections failed before (404 from three of three nodes 3.0 s after the silence); no node had logged the configuration, none a lost feed.

Each node now knows as of when it knows the rows. The leader asks the store at least every quarter of configuration_bound (0.5 s) whether there were changes, in a call that doesn't wait; its answers to checks say how old its knowledge is, which spares the others that call. A node that hears nothing of a leader asks by itself after four fifths of the bound, and any node at once when a peer names a newer configuration. Rows that arrive late don't replace newer ones.

Weighed: a shorter long poll on all nodes (one call a second each: 100 calls a second on 100 nodes), keep-alive probes of TCP (answered by a middlebox that has lost the connection behind it).

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -202,6 +202,7 @@
   check.__set_commit_ms(commit_timeout_.typical().count);
   const auto version = static_cast<std::int64_t>(config_.version);
   check.__set_config_version(version);
+  check.__set_operator_rows_age_ms((now - operator_rows_as_of_).count);
   const bool settled = now - config_received_ >= kConfigForwardDelay;
   if (version > config_version && settled) check.__set_config(config_source_);
   if (lease_.lease) check.__set_lease(EncodeLease(*lease_.lease));
@@ -226,6 +227,7 @@
     ApplyOperatorRow({"", "", std::string(platform::kConfigKey), check.config},
                      check.sender);
   }
+  OnConfigurationSeen(static_cast<std::uint64_t>(check.config_version));
   const auto lease = DecodeLease(check.lease);
   if (!lease) return is_new;
   const bool newer = !lease_.lease || lease->term > lease_.lease->term ||
@@ -267,6 +269,7 @@
   peer::gen::Message message;
   // The configuration is sent only to a peer that has reported an older one.
   const auto known = static_cast<std::int64_t>(config_.version);
+  const Millis asked = clock_.Now();
   message.__set_leader_check(
       BuildLeaderCheck(peers_.ConfigVersion(address).value_or(known), false));
   auto answer = co_await peer_client_.Call(address, message, kCheckTimeout);
@@ -277,6 +280,12 @@
   if (!answer->__isset.leader_check) co_return false;
   const peer::gen::LeaderCheck& reply = answer->leader_check;
   ApplyLeaderCheck(reply);
+  const auto version = static_cast<std::uint64_t>(reply.config_version);
+  if (reply.leads && reply.__isset.operator_rows_age_ms &&
+      version == config_.version) {
+    const Millis age{reply.operator_rows_age_ms};
+    operator_rows_as_of_ = std::max(operator_rows_as_of_, asked - age);
+  }
   peer_status_.incarnation = static_cast<std::uint64_t>(reply.incarnation);
   peer_status_.leads = reply.leads;
   peer_status_.term = static_cast<std::uint64_t>(reply.term);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr Millis kFeedWait = base::Seconds(10);
-constexpr Millis kRetryPause{200};
 /// Deadline of client requests that don't specify one.
 constexpr Millis kDefaultDeadline = base::Seconds(3);
 /// A VM has at least 4,100 file descriptors; the rest is for outgoing calls.
@@ -61,6 +59,7 @@
       platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
       peer_client_(pool),
       peers_(settings_.peer),
+      operator_rows_signal_(pool.context()),
       check_signal_(pool.context()),
       commit_signal_(pool.context()),
       committed_signal_(pool.context()),
@@ -85,7 +84,8 @@
       .With("incarnation", incarnation_)
       .With("front", settings_.front)
       .With("store", settings_.store);
-  pool_.Spawn("operator", FollowOperatorTable());
+  pool_.Spawn("operator_feed", FollowOperatorRows());
+  pool_.Spawn("operator_rows", ConfirmOperatorRows());
   pool_.Spawn("lease", WatchLease());
 }
 
@@ -201,95 +201,6 @@
   co_return answer;
 }
 
-// Reads all rows of the operator table.
-Awaitable<void> NodeProcess::ReadOperatorTable() {
-  TableRead read;
-  read.table = platform::kOperatorTable;
-  read.apply = [this](const platform::StoreRow& row) {
-    ApplyOperatorRow(row, "read");
-  };
-  read.may_continue = [] { return true; };
-  const Millis sent = clock_.Now();
-  const auto version = co_await ReadTable(platform_, std::move(read));
-  operator_version_ = std::max(operator_version_, version.value_or(0));
-  operator_rows_as_of_ = std::max(operator_rows_as_of_, sent);
-}
-
-void NodeProcess::ApplyOperatorRow(const platform::StoreRow& row,
-                                   std::string_view source) {
-  const std::string_view key = row.key;
-  if (key == platform::kConfigKey) {
-    auto config = platform::DecodeConfiguration(row.value);
-    if (!config) {
-      LogLine(LogLevel::kError, "configuration_unreadable")
-          .With("row_version", row.version)
-          .With("error", config.error().what);
-      return;
-    }
-    // A page that was read again may be older than the current configuration.
-    if (config->version <= config_.version) return;
-    LogLine(LogLevel::kInfo, "configuration")
-        .With("version", config->version)
-        .With("before", config_.version)
-        .With("queues", config->queues.size())
-        .With("source", source)
-        .With("row_version", row.version);
-    config_ = *std::move(config);
-    config_source_ = row.value;
-    config_received_ = clock_.Now();
-    scheduler_.SetConfiguration(config_);
-    RequestPlan();
-    return;
-  }
-  if (!key.starts_with(platform::kWavePrefix) || row.removed) return;
-  auto wave = platform::DecodeWave(row.value);
-  if (!wave) {
-    LogLine(LogLevel::kError, "wave_unreadable")
-        .With("key", key)
-        .With("error", wave.error().what);
-    return;
-  }
-  if (!waves_.contains(wave->number)) {
-    LogLine(LogLevel::kInfo, "wave_ordered")
-        .With("wave", wave->number)
-        .With("machines", wave->vms.size())
-        .With("cap", wave->cap)
-        .With("duration_ms", wave->duration.count);
-  }
-  const int number = wave->number;
-  waves_[number] = *std::move(wave);
-}
-
-Awaitable<void> NodeProcess::FollowOperatorTable() {
-  bool read = false;
-  while (true) {
-    if (!read) {
-      co_await ReadOperatorTable();
-      read = true;
-      continue;
-    }
-    const Millis sent = clock_.Now();
-    auto page = co_await platform_.Changes(platform::kOperatorTable,
-                                           operator_version_, kFeedWait);
-    if (!page) {
-      const bool lost =
-          page.error().failure == platform::CallFailure::kHistoryLost;
-      LogLine(LogLevel::kWarning, "operator_feed_lost")
-          .With("after", operator_version_)
-          .With("ms", (clock_.Now() - sent).count)
-          .With("error", page.error().what);
-      read = false;
-      if (!lost) co_await kernel::Sleep(kRetryPause);
-      continue;
-    }
-    for (const platform::StoreRow& it : page->rows) {
-      ApplyOperatorRow(it, "feed");
-    }
-    operator_rows_as_of_ = std::max(operator_rows_as_of_, sent);
-    operator_version_ = std::max(operator_version_, page->version);
-  }
-}
-
 void NodeProcess::BeginStop() {
   if (stopping_) return;
   stopping_ = true;
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -91,16 +91,23 @@
 
  private:
   // Every node (process.cc).
-  Awaitable<void> FollowOperatorTable();
-  Awaitable<void> ReadOperatorTable();
-  /// `source`: how the row came here, for the log.
-  void ApplyOperatorRow(const platform::StoreRow& row, std::string_view source);
   Awaitable<void> Stop();
   void SetGauges();
   Awaitable<kernel::HttpResponse> ServeReadiness(kernel::HttpRequest request);
   Awaitable<kernel::HttpResponse> ServeClient(kernel::HttpRequest request);
   Awaitable<peer::gen::Message> ServePeer(peer::gen::Message message);
 
+  // The operator's rows (operator_rows.cc).
+  Awaitable<void> FollowOperatorRows();
+  Awaitable<void> ConfirmOperatorRows();
+  Awaitable<void> ReadOperatorRows();
+  void ApplyOperatorRows(const platform::StorePage& page, Millis asked,
+                         std::string_view source);
+  /// `source`: how the row came here, for the log.
+  void ApplyOperatorRow(const platform::StoreRow& row, std::string_view source);
+  /// Another node has configuration `version`.
+  void OnConfigurationSeen(std::uint64_t version);
+
   // Job requests (calls.cc).
   Awaitable<Reply> Route(Call call);
   Awaitable<Reply> HandleAsLeader(Call call);
@@ -228,8 +235,12 @@
   Millis config_received_{0};
   std::map<int, jobs::WaveOrder> waves_;
   std::uint64_t operator_version_ = 0;
+  /// Versions of the rows applied, by key.
+  std::map<std::string, std::uint64_t> operator_row_versions_;
   /// The operator's rows are known as they were at this time.
   Millis operator_rows_as_of_{0};
+  bool operator_rows_behind_ = false;  ///< Another node knows newer ones.
+  kernel::Signal operator_rows_signal_;
 
   // Leadership.
   LeaseView lease_;
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -37,6 +37,9 @@
                   "how long tasks may start on a worker after it registered as "
                   "draining",
                   {500}, kMaxDuration);
+  reader.Duration("configuration_bound", &settings.configuration_bound,
+                  "how soon a change by the operator must be in force", {500},
+                  kMaxDuration);
   reader.Duration("machine_turn", &settings.machine_turn,
                   "minimum time between VM orders of two successive leaders",
                   {0}, kMaxDuration);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -23,6 +23,8 @@
   base::Millis grace{6000};          ///< Time from stop signal to kill.
   /// How long tasks may start on a worker after it registered as draining.
   base::Millis drain_notice{2000};
+  /// How soon a change by the operator must be in force on every node.
+  base::Millis configuration_bound{2000};
   /// Minimum time between VM orders of two lease holders.
   base::Millis machine_turn{3000};
   std::int64_t max_descriptors = 4096;  ///< That this process may open.
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2489,6 +2489,10 @@
 void LeaderCheck::__set_strengths(const std::map<std::string, int32_t> & val) {
   this->strengths = val;
 }
+
+void LeaderCheck::__set_operator_rows_age_ms(const int64_t val) {
+  this->operator_rows_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const LeaderCheck& obj)
 {
   obj.printTo(out);
@@ -2640,6 +2644,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operator_rows_age_ms);
+          this->__isset.operator_rows_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2722,6 +2734,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("operator_rows_age_ms", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->operator_rows_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2741,6 +2757,7 @@
   swap(a.beat_version, b.beat_version);
   swap(a.commit_ms, b.commit_ms);
   swap(a.strengths, b.strengths);
+  swap(a.operator_rows_age_ms, b.operator_rows_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2757,6 +2774,7 @@
   beat_version = other108.beat_version;
   commit_ms = other108.commit_ms;
   strengths = other108.strengths;
+  operator_rows_age_ms = other108.operator_rows_age_ms;
   __isset = other108.__isset;
 }
 LeaderCheck& LeaderCheck::operator=(const LeaderCheck& other109) {
@@ -2772,6 +2790,7 @@
   beat_version = other109.beat_version;
   commit_ms = other109.commit_ms;
   strengths = other109.strengths;
+  operator_rows_age_ms = other109.operator_rows_age_ms;
   __isset = other109.__isset;
   return *this;
 }
@@ -2790,6 +2809,7 @@
   out << ", " << "beat_version=" << to_string(beat_version);
   out << ", " << "commit_ms=" << to_string(commit_ms);
   out << ", " << "strengths=" << to_string(strengths);
+  out << ", " << "operator_rows_age_ms=" << to_string(operator_rows_age_ms);
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -941,7 +941,7 @@
 std::ostream& operator<<(std::ostream& out, const JobReply& obj);
 
 typedef struct _LeaderCheck__isset {
-  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), commit_ms(false), strengths(false) {}
+  _LeaderCheck__isset() : incarnation(false), leads(false), term(false), renewal_age_ms(false), config_version(false), config(false), lease(false), sender(false), peers(false), beat_version(false), commit_ms(false), strengths(false), operator_rows_age_ms(false) {}
   bool incarnation :1;
   bool leads :1;
   bool term :1;
@@ -954,6 +954,7 @@
   bool beat_version :1;
   bool commit_ms :1;
   bool strengths :1;
+  bool operator_rows_age_ms :1;
 } _LeaderCheck__isset;
 
 class LeaderCheck : public virtual ::apache::thrift::TBase {
@@ -971,7 +972,8 @@
                 lease(),
                 sender(),
                 beat_version(0),
-                commit_ms(0) {
+                commit_ms(0),
+                operator_rows_age_ms(0) {
   }
 
   virtual ~LeaderCheck() noexcept;
@@ -987,6 +989,7 @@
   int64_t beat_version;
   int64_t commit_ms;
   std::map<std::string, int32_t>  strengths;
+  int64_t operator_rows_age_ms;
 
   _LeaderCheck__isset __isset;
 
@@ -1014,6 +1017,8 @@
 
   void __set_strengths(const std::map<std::string, int32_t> & val);
 
+  void __set_operator_rows_age_ms(const int64_t val);
+
   bool operator == (const LeaderCheck & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1040,6 +1045,8 @@
       return false;
     if (!(strengths == rhs.strengths))
       return false;
+    if (!(operator_rows_age_ms == rhs.operator_rows_age_ms))
+      return false;
     return true;
   }
   bool operator != (const LeaderCheck &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -110,7 +110,7 @@
   1: i32 status,                // 0: the receiver is not the leader and did nothing
   2: binary body,
   3: i64 retry_after_s,
-  4: i64 config_version,
+  4: i64 config_version,        // of the receiver
   5: bool may_have_run,         // with status 0: the call may still take effect
 }
 
@@ -129,6 +129,7 @@
   // 11 was a list of the nodes that led only as the last choice.
   12: i64 commit_ms,            // typical duration of the leader's commits
   13: map<string, i32> strengths, // of `sender` and `peers`: the strongest leads
+  14: i64 operator_rows_age_ms, // the sender knows the operator's rows as of that long ago
 }
 
 union Message {
