No call is answered by an older configuration than the one that admitted it

Callers saw: a node that had the change forwarded a call to a leader that hadn't, and answered 404, or with what the older configuration allows; after a change of leader also where the node had already answered by the newer one (CONFIG: came back older). The other way round, a node went on refusing a route whose leader had answered it by a newer configuration.

Cause: calls and replies between nodes name the sender's configuration, and no code read it.

Evidence: system_configuration_older_at_leader failed before (404 from both followers) and passes now, as does ConfigurationThatTheLeaderAnsweredByIsReadAtOnce, whose node is told of no change in any other way.

A leader that is behind the caller reads the change first, and refuses with 503 if it can't within 0.8 s: nothing has run then. A node that is behind the leader reads the change at once.

--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -25,6 +25,9 @@
 /// The leader is reachable if it answered a check or a request within this
 /// time.
 constexpr Millis kRecentLeaderAge = kRelaxedCheckInterval + Millis{500};
+/// How long a leader waits for a configuration that the caller has: one call
+/// to the store, after one that timed out.
+constexpr Millis kMaxConfigurationWait{800};
 /// How long a job submission waits for a leader before it is rejected.
 constexpr Millis kMaxLeaderWait{2200};
 /// A stopping node answers requests at least this long before its stop limit.
@@ -66,6 +69,7 @@
   if (!config_.Match(call.host, call.path)) {
     co_return Refused(404, "no such queue");
   }
+  call.config_version = config_.version;
   const Millis begin = clock_.Now();
   const Millis client_limit = call.deadline;
   bool may_have_run = false;
@@ -122,7 +126,7 @@
   out.__set_path(call.path);
   out.__set_body(call.body);
   out.__set_remaining_ms(left.count);
-  out.__set_config_version(static_cast<std::int64_t>(config_.version));
+  out.__set_config_version(static_cast<std::int64_t>(call.config_version));
   peer::gen::Message message;
   message.__set_job_call(out);
   const std::string address = lease_.lease->address;
@@ -163,6 +167,8 @@
   } else {
     check_signal_.Notify();
   }
+  OnConfigurationSeen(
+      static_cast<std::uint64_t>(answer->job_reply.config_version));
   reply.status = answer->job_reply.status;
   reply.body = std::move(answer->job_reply.body);
   reply.retry_after_s = answer->job_reply.retry_after_s;
@@ -177,6 +183,12 @@
     co_await committed_signal_.Wait(kRetryPause);
   }
   if (!leads_ || !loaded_) co_return Reply{0, {}, 0};
+  const Millis limit = std::min(call.deadline - kReplyReserve,
+                                clock_.Now() + kMaxConfigurationWait);
+  if (!co_await AwaitConfiguration(call.config_version, limit)) {
+    co_return Refused(503, "the leader has an older configuration");
+  }
+  if (!leads_ || !loaded_) co_return Reply{0, {}, 0};
   const jobs::Queue* queue = config_.Match(call.host, call.path);
   if (!queue) co_return Refused(404, "no such queue");
   std::string id = call.path.substr(queue->path_prefix.size());
--- a/src/node/operator_rows.cc
+++ b/src/node/operator_rows.cc
@@ -69,6 +69,7 @@
     config_source_ = row.value;
     config_received_ = clock_.Now();
     scheduler_.SetConfiguration(config_);
+    config_signal_.Notify();
     RequestPlan();
     return;
   }
@@ -156,4 +157,15 @@
   operator_rows_signal_.Notify();
 }
 
+Awaitable<bool> NodeProcess::AwaitConfiguration(std::uint64_t version,
+                                                Millis limit) {
+  while (config_.version < version) {
+    const Millis now = clock_.Now();
+    if (now >= limit) co_return false;
+    OnConfigurationSeen(version);
+    co_await config_signal_.Wait(std::min(limit - now, kRetryPause));
+  }
+  co_return true;
+}
+
 }  // namespace hemlockward::node
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -60,6 +60,7 @@
       peer_client_(pool),
       peers_(settings_.peer),
       operator_rows_signal_(pool.context()),
+      config_signal_(pool.context()),
       check_signal_(pool.context()),
       commit_signal_(pool.context()),
       committed_signal_(pool.context()),
@@ -191,12 +192,15 @@
     call.path = std::move(message.job_call.path);
     call.body = std::move(message.job_call.body);
     call.deadline = clock_.Now() + Millis{message.job_call.remaining_ms};
+    call.config_version =
+        static_cast<std::uint64_t>(message.job_call.config_version);
     const Reply reply = co_await HandleAsLeader(std::move(call));
     out.__set_status(reply.status);
     out.__set_body(reply.body);
     out.__set_retry_after_s(reply.retry_after_s);
     out.__set_may_have_run(reply.may_have_run);
   }
+  out.__set_config_version(static_cast<std::int64_t>(config_.version));
   answer.__set_job_reply(out);
   co_return answer;
 }
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -46,6 +46,8 @@
   std::string path;
   std::string body;
   Millis deadline{0};  ///< Local time at which the client stops waiting.
+  /// Configuration by which it was admitted; no older one may answer it.
+  std::uint64_t config_version = 0;
 };
 
 struct Reply {
@@ -107,6 +109,9 @@
   void ApplyOperatorRow(const platform::StoreRow& row, std::string_view source);
   /// Another node has configuration `version`.
   void OnConfigurationSeen(std::uint64_t version);
+  /// Waits for configuration `version` or a newer one. Returns false if it
+  /// isn't known by `limit`.
+  Awaitable<bool> AwaitConfiguration(std::uint64_t version, Millis limit);
 
   // Job requests (calls.cc).
   Awaitable<Reply> Route(Call call);
@@ -241,6 +246,7 @@
   Millis operator_rows_as_of_{0};
   bool operator_rows_behind_ = false;  ///< Another node knows newer ones.
   kernel::Signal operator_rows_signal_;
+  kernel::Signal config_signal_;  ///< A newer configuration is in force.
 
   // Leadership.
   LeaseView lease_;
--- a/tests/node_forward_test.cc
+++ b/tests/node_forward_test.cc
@@ -26,8 +26,14 @@
 constexpr std::string_view kConfiguration =
     R"({"version":1,"routes":[{"name":"q","host":"jobs.example",)"
     R"("path_prefix":"/q/","service":"pool"}],"services":[{"name":"pool"}]})";
+constexpr std::string_view kNewerConfiguration =
+    R"({"version":2,"routes":[{"name":"q","host":"jobs.example",)"
+    R"("path_prefix":"/q/","service":"pool"},{"name":"added",)"
+    R"("host":"jobs.example","path_prefix":"/added/","service":"pool"}],)"
+    R"("services":[{"name":"pool"}]})";
 constexpr std::string_view kHost = "jobs.example";
 constexpr std::string_view kPath = "/q/0123456789abcdef";
+constexpr std::string_view kAddedPath = "/added/0123456789abcdef";
 constexpr std::string_view kJob =
     R"({"task_spec":"text","steps":[{"count":1,"cpu":1,"mem_mb":1}]})";
 constexpr Millis kTimeout{5000};
@@ -84,12 +90,21 @@
     settings.readiness = FreeAddress();
     settings.peer = FreeAddress();
     settings.store = "127.0.0.1:" + std::to_string(store_.port());
+    // The node asks for changes only when it hears of one.
+    settings.configuration_bound = base::Minutes(10);
     return settings;
   }
 
   Awaitable<HttpResponse> Serve(HttpRequest request) {
     const std::string table = request.Query("table");
-    if (request.Path() == "/v1/rows-feed") co_await kernel::Sleep(kTimeout);
+    if (request.Path() == "/v1/rows-feed") {
+      if (request.Query("wait_ms") == "0") {
+        co_return kernel::JsonResponse(
+            200, Page(platform::kOperatorTable, platform::kConfigKey,
+                      std::string(kNewerConfiguration)));
+      }
+      co_await kernel::Sleep(kTimeout);
+    }
     if (request.Path() != "/v1/rows-get") {
       co_return kernel::JsonResponse(503, "{}");
     }
@@ -118,13 +133,13 @@
     co_return answer;
   }
 
-  // Hands a job in until the leader has been called.
-  int Submit() {
+  // Hands a job in until the leader has been called `calls` times.
+  int Submit(std::string_view path = kPath, int calls = 1) {
     int status = 0;
-    for (int i = 0; i < kMaxCalls && job_calls_ == 0; ++i) {
+    for (int i = 0; i < kMaxCalls && job_calls_ < calls; ++i) {
       HttpRequest request;
       request.method = "POST";
-      request.target = kPath;
+      request.target = path;
       request.headers.push_back({"Host", std::string(kHost)});
       request.body = kJob;
       const auto response = tests::RunBlocking(
@@ -134,7 +149,7 @@
       status = response->status;
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    EXPECT_GT(job_calls_, 0);
+    EXPECT_GE(job_calls_, calls);
     return status;
   }
 
@@ -152,8 +167,9 @@
   std::jthread node_thread_;
 };
 
-Message JobReply(int status) {
+Message JobReply(int status, std::int64_t config_version = 1) {
   peer::gen::JobReply reply;
+  reply.__set_config_version(config_version);
   reply.__set_status(status);
   reply.__set_body("{}");
   Message message;
@@ -187,5 +203,11 @@
   EXPECT_EQ(Submit(), 504);
 }
 
+TEST_F(ForwardTest, ConfigurationThatTheLeaderAnsweredByIsReadAtOnce) {
+  on_job_call_ = [](int) { return JobReply(200, 2); };
+  EXPECT_EQ(Submit(), 200);
+  EXPECT_EQ(Submit(kAddedPath, 2), 200);
+}
+
 }  // namespace
 }  // namespace hemlockward::node
--- a/tests/system/silent_operator_feed_test.py
+++ b/tests/system/silent_operator_feed_test.py
@@ -1,8 +1,9 @@
 """An operator's change is in force on every node 2 s after its acknowledgement, by nodes that have been in touch for 3 s.
 
-Usage: silent_operator_feed_test.py feeds|connections (with HEMLOCKWARD_BIN set)
+Usage: silent_operator_feed_test.py feeds|connections|leader (with HEMLOCKWARD_BIN set)
 feeds: the calls in progress on which the nodes await changes never end; later ones do.
 connections: all open connections to the store go silent for good; new ones work.
+leader: the leader can't read the operator's rows at all; it may answer nothing from its older configuration.
 """
 
 import http.client
@@ -19,6 +20,7 @@
 CONTACT_S = 3.0
 CHANGE_S = 0.8  # From the silence to the change: it is due to be in force when the nodes are in touch.
 WARM_UP_S = 2.0
+FEED_S = 0.15  # Until the nodes whose calls work have the change.
 
 
 def status_of(node, path):
@@ -40,6 +42,15 @@
             time.sleep(60)
         return answer
 
+    def serve(node, method, path, query, body):
+        answer = real_serve(node, method, path, query, body)
+        if sys.argv[1] == "leader" and query.get("table") == "op" and silent.is_set():
+            while node == leader:
+                time.sleep(1)
+        return answer
+
+    real_serve, leader = store.serve, None
+    store.serve = serve
     store.feed = feed
     day.stopping = False
     threading.Thread(target=day.tick, daemon=True).start()
@@ -49,6 +60,7 @@
         time.sleep(WARM_UP_S)
         for node in day.nodes:
             assert status_of(node, "/q-a/") == 200, f"{node.name} isn't up"
+        leader = day.leader().name
         silent_since = time.monotonic()
         silent.set()
         if sys.argv[1] == "connections":
@@ -59,6 +71,10 @@
         row["version"] += 3
         row["routes"].append(row["routes"][0] | {"name": "q-added", "path_prefix": "/q-added/"})
         store.put("op", "", "config", json.dumps(row))
+        if sys.argv[1] == "leader":
+            time.sleep(FEED_S)
+            early = {it.name: status_of(it, "/q-added/") for it in day.nodes if it.name != leader}
+            assert 404 not in early.values(), f"{early}, led by {leader}; logs: {day.dir}"
         time.sleep(silent_since + CONTACT_S - time.monotonic())
         statuses = {it.name: status_of(it, "/q-added/") for it in day.nodes}
     finally:
