An address that can't be parsed no longer ends the following of its worker

Callers saw (report of odd entries): another writer puts an entry with a port out of range in place of a worker's own. The leader stops following that worker until the next leader, also after the worker has written its entry again: no task starts there, its runs lose their lease.

Cause: connecting to an address that can't be parsed threw. The exception ended the coroutine that renews the worker's lease; the worker stayed in the set of those that have one. A start that threw never left the start window.

CallToAnInvalidAddressFailsInsteadOfThrowing and RejectsWorkerEntriesWithImpossibleAddresses threw and failed.

HTTP and peer calls to such an address fail as not sent, and the entry counts as one of another writer. Two entries of RejectsWorkerEntriesOfOtherWriters had an address that is now refused by itself; they get a valid one, so that the field that each is about still decides.

--- a/src/kernel/endpoint.h
+++ b/src/kernel/endpoint.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 
 namespace hemlockward::kernel {
 
@@ -9,7 +11,8 @@
 /// that names the address on failure.
 void Listen(boost::asio::ip::tcp::acceptor& acceptor, std::string_view address);
 
-/// Parses an `IP:port`; throws std::invalid_argument on invalid text.
-boost::asio::ip::tcp::endpoint ParseEndpoint(std::string_view address);
+/// Parses an `IP:port`; the error names the address.
+tl::expected<boost::asio::ip::tcp::endpoint, std::string> ParseEndpoint(
+    std::string_view address);
 
 }  // namespace hemlockward::kernel
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -436,8 +436,13 @@
     return HttpFailure::kTimeout;
   };
   if (!connected) {
+    const auto endpoint = ParseEndpoint(address);
+    if (!endpoint) {
+      co_return tl::unexpected(
+          HttpError{HttpFailure::kNotSent, endpoint.error()});
+    }
     stream->expires_after(std::min(timeout, kConnectTimeout).ToChrono());
-    co_await stream->async_connect(ParseEndpoint(address), Redirect(ec));
+    co_await stream->async_connect(*endpoint, Redirect(ec));
     if (ec) {
       co_return tl::unexpected(HttpError{HttpFailure::kNotSent, ec.message()});
     }
--- a/src/node/operator_rows.cc
+++ b/src/node/operator_rows.cc
@@ -123,9 +123,9 @@
   Millis timeout = kConfirmTimeout;
   while (true) {
     const Millis asked = clock_.Now();
-    const Millis due = operator_rows_as_of_ +
-                       MaxOperatorRowsAge(settings_.configuration_bound,
-                                          leads_);
+    const Millis due =
+        operator_rows_as_of_ +
+        MaxOperatorRowsAge(settings_.configuration_bound, leads_);
     if (asked < due && !operator_rows_behind_) {
       co_await operator_rows_signal_.Wait(due - asked);
       continue;
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -318,12 +318,16 @@
 PeerClient::State::Exchange(std::string address, std::string frame,
                             Millis timeout, ConnectionPtr connection) {
   error_code ec;
+  const auto endpoint = kernel::ParseEndpoint(address);
+  if (!endpoint) {
+    co_return tl::unexpected(
+        PeerError{PeerFailure::kNotSent, endpoint.error()});
+  }
   const Millis begin = clock.Now();
   const bool connected = connection->socket.is_open();
   connection->SetDeadline(timeout);
   if (!connected) {
-    co_await connection->socket.async_connect(kernel::ParseEndpoint(address),
-                                              Redirect(ec));
+    co_await connection->socket.async_connect(*endpoint, Redirect(ec));
     if (ec) {
       connection->ClearDeadline();
       const bool refused = ec == asio::error::connection_refused;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -131,6 +131,14 @@
   EXPECT_EQ(result.error().failure, HttpFailure::kNotSent);
 }
 
+TEST_F(HttpTest, CallToAnInvalidAddressFailsInsteadOfThrowing) {
+  for (const char* it : {"127.0.0.1:70000", "127.0.0.1:-1", "host:80", ""}) {
+    const auto result = tests::RunBlocking(pool_, client_.Call(it, {}, {200}));
+    ASSERT_FALSE(result) << it;
+    EXPECT_EQ(result.error().failure, HttpFailure::kNotSent) << it;
+  }
+}
+
 // Answers one request on each connection; then those connections are silent and
 // new ones are answered in full.
 class SilencedServer {
--- a/tests/peer_transport_test.cc
+++ b/tests/peer_transport_test.cc
@@ -79,6 +79,10 @@
   ASSERT_FALSE(slow);
   EXPECT_EQ(slow.error().failure, PeerFailure::kTimeout);
 
+  const auto invalid = Call("127.0.0.1:70000", Outcome("a"));
+  ASSERT_FALSE(invalid);
+  EXPECT_EQ(invalid.error().failure, PeerFailure::kNotSent);
+
   const auto refused = Call("127.0.0.1:1", Outcome("a"));
   ASSERT_FALSE(refused);
   EXPECT_EQ(refused.error().failure, PeerFailure::kNotSent);
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -67,18 +67,32 @@
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
       R"("capacity":{"cpu":16000,"mem_mb":1},"labels":["a"],"seq":4})";
   ASSERT_TRUE(DecodeWorker("id", good));
-  for (const char* body :
-       {R"({"service":"s"})", "\x01\x02", "null",
-        R"({"service":"s","address":"a","zone":"z","state":"sleeping",)"
-        R"("capacity":{}})",
-        R"({"service":1,"address":"a","zone":"z","state":"ready",)"
-        R"("capacity":{}})",
-        R"({"service":"s","address":"a","zone":"z","state":"ready",)"
-        R"("capacity":7})"}) {
+  for (
+      const char* body :
+      {R"({"service":"s"})", "\x01\x02", "null",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"sleeping",)"
+       R"("capacity":{}})",
+       R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready",)"
+       R"("capacity":{}})",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+       R"("capacity":7})"}) {
     EXPECT_FALSE(DecodeWorker("id", body)) << body;
   }
 }
 
+TEST(CodecTest, RejectsWorkerEntriesWithImpossibleAddresses) {
+  const auto entry = [](std::string_view address, std::string_view cpu) {
+    return R"({"service":"s","zone":"z","state":"ready","address":")" +
+           std::string(address) + R"(","capacity":{"cpu":)" + std::string(cpu) +
+           "}}";
+  };
+  ASSERT_TRUE(DecodeWorker("id", entry("10.0.0.1:80", "16000")));
+  for (const char* it : {"10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1",
+                         "10.0.0.1", "host:80", "10.0.0.1:99999999999", ""}) {
+    EXPECT_FALSE(DecodeWorker("id", entry(it, "16000"))) << it;
+  }
+}
+
 TEST(CodecTest, TransactionsCarryConditionsWritesAndRemovals) {
   StoreTransaction transaction;
   transaction.part = "p";
