Numbers out of range in entries of others are refused, not added up

An entry with a capacity of 9.2e18 was taken as that of a worker; sums over workers overflow, which is undefined. The duration of a wave of 1e300 s was converted to 64 bits, with one result on x86-64 and another on arm64.

--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -80,19 +80,33 @@
   }
 }
 
+std::string WorkerEntryBody(std::string_view address, std::string_view cpu) {
+  return R"({"service":"s","zone":"z","state":"ready","address":")" +
+         std::string(address) + R"(","capacity":{"cpu":)" + std::string(cpu) +
+         "}}";
+}
+
 TEST(CodecTest, RejectsWorkerEntriesWithImpossibleAddresses) {
-  const auto entry = [](std::string_view address, std::string_view cpu) {
-    return R"({"service":"s","zone":"z","state":"ready","address":")" +
-           std::string(address) + R"(","capacity":{"cpu":)" + std::string(cpu) +
-           "}}";
-  };
-  ASSERT_TRUE(DecodeWorker("id", entry("10.0.0.1:80", "16000")));
+  ASSERT_TRUE(DecodeWorker("id", WorkerEntryBody("10.0.0.1:80", "16000")));
   for (const char* it : {"10.0.0.1:70000", "10.0.0.1:0", "10.0.0.1:-1",
                          "10.0.0.1", "host:80", "10.0.0.1:99999999999", ""}) {
-    EXPECT_FALSE(DecodeWorker("id", entry(it, "16000"))) << it;
+    EXPECT_FALSE(DecodeWorker("id", WorkerEntryBody(it, "16000"))) << it;
   }
 }
 
+TEST(CodecTest, RejectsWorkerEntriesWithImpossibleCapacities) {
+  for (const char* it : {"9200000000000000000", "9223372036854775808", "-1",
+                         "1e300", "1000000000000000000000000000000"}) {
+    EXPECT_FALSE(DecodeWorker("id", WorkerEntryBody("10.0.0.1:80", it))) << it;
+  }
+}
+
+TEST(CodecTest, RejectsWavesWhoseDurationDoesNotFit) {
+  EXPECT_TRUE(DecodeWave(R"({"wave":1,"duration_s":16.5})"));
+  EXPECT_FALSE(DecodeWave(R"({"wave":1,"duration_s":1e300})"));
+  EXPECT_FALSE(DecodeWave(R"({"wave":1,"duration_s":-1})"));
+}
+
 TEST(CodecTest, TransactionsCarryConditionsWritesAndRemovals) {
   StoreTransaction transaction;
   transaction.part = "p";
