Loops that others rely on are started again after an exception

Callers saw: nothing yet. Class of the fault before: an unexpected error in the coroutine that follows the operator's rows, the workers or a worker's lease, or that plans, was logged once as task_failed, and nothing did that work until the process or the leader changed. For the operator's rows that is a configuration that never comes into force again.

Evidence: LoopThatThrewIsStartedAgain; none of the old calls had that property.

Commits keep their own way: the outcome of one must be known before the next, so a leader whose commit loop ends stops renewing the lease and is replaced.

--- a/src/kernel/worker_pool.cc
+++ b/src/kernel/worker_pool.cc
@@ -1,6 +1,7 @@
 #include "kernel/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +18,35 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+void LogFailure(std::string_view task, const std::exception_ptr& error) {
+  try {
+    std::rethrow_exception(error);
+  } catch (const std::exception& e) {
+    base::LogLine(base::LogLevel::kError, "task_failed")
+        .With("task", task)
+        .With("error", e.what());
+  }
+}
+
+asio::awaitable<void> RunLoop(std::string name,
+                              std::function<asio::awaitable<void>()> loop) {
+  while (true) {
+    std::exception_ptr error;
+    try {
+      co_await loop();
+    } catch (...) {
+      error = std::current_exception();
+    }
+    if (!error) co_return;
+    LogFailure(name, error);
+    co_await Sleep(WorkerPool::kRestartPause);
+  }
+}
+
+}  // namespace
+
 WorkerPool::WorkerPool(int threads) : threads_(threads), context_(threads) {}
 
 WorkerPool::~WorkerPool() { Stop(); }
@@ -24,17 +54,16 @@
 void WorkerPool::Spawn(std::string name, asio::awaitable<void> task) {
   asio::co_spawn(context_, std::move(task),
                  [name = std::move(name)](const std::exception_ptr& error) {
-                   if (!error) return;
-                   try {
-                     std::rethrow_exception(error);
-                   } catch (const std::exception& e) {
-                     base::LogLine(base::LogLevel::kError, "task_failed")
-                         .With("task", name)
-                         .With("error", e.what());
-                   }
+                   if (error) LogFailure(name, error);
                  });
 }
 
+void WorkerPool::SpawnLoop(std::string name,
+                           std::function<asio::awaitable<void>()> loop) {
+  asio::co_spawn(context_, RunLoop(std::move(name), std::move(loop)),
+                 asio::detached);
+}
+
 void WorkerPool::Run() {
   auto guard = asio::make_work_guard(context_);
   std::vector<std::jthread> threads;
--- a/src/kernel/worker_pool.h
+++ b/src/kernel/worker_pool.h
@@ -19,6 +19,8 @@
 /// metrics.
 class WorkerPool {
  public:
+  static constexpr base::Millis kRestartPause{500};
+
   explicit WorkerPool(int threads);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
@@ -27,6 +29,10 @@
   [[nodiscard]] boost::asio::io_context& context() { return context_; }
   /// Starts a coroutine; an uncaught exception is logged with `name`.
   void Spawn(std::string name, boost::asio::awaitable<void> task);
+  /// The same for a loop that others rely on: after an exception it is started
+  /// again, `kRestartPause` later.
+  void SpawnLoop(std::string name,
+                 std::function<boost::asio::awaitable<void>()> loop);
   /// Runs until Stop is called; the calling thread is one of the workers.
   void Run();
   void Stop();
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -93,7 +93,8 @@
   if (!scheduler_.FindWorker(id) || !watched_workers_.insert(id).second) return;
   auto& signal = worker_signals_[id];
   if (!signal) signal = std::make_unique<kernel::Signal>(pool_.context());
-  pool_.Spawn("hold", RenewWorkerLoop(term, id));
+  pool_.SpawnLoop("hold",
+                  [this, term, id] { return RenewWorkerLoop(term, id); });
 }
 
 void NodeProcess::WatchAllWorkers(std::uint64_t term) {
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -372,9 +372,9 @@
       .With("workers", scheduler_.workers().size())
       .With("after_ms", (clock_.Now() - lease_taken_).count);
   committed_signal_.Notify();
-  pool_.Spawn("workers", FollowWorkers(term));
-  pool_.Spawn("plan", PlanLoop(term));
-  pool_.Spawn("fleet", FleetLoop(term));
+  pool_.SpawnLoop("workers", [this, term] { return FollowWorkers(term); });
+  pool_.SpawnLoop("plan", [this, term] { return PlanLoop(term); });
+  pool_.SpawnLoop("fleet", [this, term] { return FleetLoop(term); });
 }
 
 Awaitable<bool> NodeProcess::LoadTable(std::uint64_t term, std::string table) {
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -85,8 +85,8 @@
       .With("incarnation", incarnation_)
       .With("front", settings_.front)
       .With("store", settings_.store);
-  pool_.Spawn("operator_feed", FollowOperatorRows());
-  pool_.Spawn("operator_rows", ConfirmOperatorRows());
+  pool_.SpawnLoop("operator_feed", [this] { return FollowOperatorRows(); });
+  pool_.SpawnLoop("operator_rows", [this] { return ConfirmOperatorRows(); });
   pool_.Spawn("lease", WatchLease());
 }
 
