Soak: configurations are checked, and all open connections go silent at once

The soak wrote configurations that differ in a route nobody uses, and checked no rule on them.

No functional change

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """A randomized soak: real hemlockward-node processes, faults from outside, promises checked meanwhile.
 
-Usage: soak.py [--seeds 1-3,107] [--seconds S] [--nodes N] [--machines N] [--deadly SHARE]   (with HEMLOCKWARD_BIN set)
+Usage: soak.py [--seeds 1-3,107] [--seconds S] [--nodes N] [--machines N] [--deadly SHARE]
+    [--configurations]   (with HEMLOCKWARD_BIN set)
 Prints one line a seed; exits with 1 when a promise was broken. Logs of such a seed are kept.
 """
 
@@ -18,6 +19,7 @@
 import threading
 import time
 
+import configurations
 import links
 import users_platform as platform
 from clients import ATTEMPTS, QUEUES, SETTLE_S, Burst, Client
@@ -114,12 +116,15 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, nodes, machines, deadly_share=0.0):
+    def __init__(self, seed, seconds, nodes, machines, deadly_share=0.0, configurations_only=False):
         self.seed = seed
+        self.configurations_only = configurations_only
         self.deadly_share = deadly_share
         self.seconds = seconds
         self.random = random.Random(seed)
         self.extra_random = random.Random(f"later faults {seed}")  # Other faults keep their schedule.
+        self.config_random = random.Random(f"configurations {seed}")  # Neither.
+        self.watch = configurations.Watch(self)
         self.bursting = False
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.world = platform.World(seed)
@@ -150,18 +155,20 @@
         with self.world.lock:
             self.counts[what] = self.counts.get(what, 0) + 1
 
-    def configure(self):
-        """Writes a configuration that differs from the last in a route nobody uses."""
-        self.version += self.random.randint(1, 4)
+    def configure(self, draw=None):
+        """Writes a configuration that differs from the last in a route that only `watch` uses."""
+        draw = draw or self.random
+        self.version += draw.randint(1, 4)
         routes = [{"name": q, "host": "jobs.example", "path_prefix": f"/{q}/", "service": s,
                    "attempts": ATTEMPTS, "stretch": 2, "target_duration_ms": 500}
                   for q, s in QUEUES.items()]
-        if self.random.random() < 0.5:
+        has_extra = draw.random() < 0.5
+        if has_extra:
             routes.append(routes[0] | {"name": "q-extra", "path_prefix": "/q-extra/"})
         services = [{"name": it, "enforces_capacity": it not in self.world.unguarded}
                     for it in QUEUES.values()] + [{"name": "spare", "headroom": True}]
-        self.world.store.put("op", "", "config", json.dumps(
-            {"version": self.version, "routes": routes, "services": services, "limits": {}}))
+        self.watch.put(has_extra, lambda: self.world.store.put("op", "", "config", json.dumps(
+            {"version": self.version, "routes": routes, "services": services, "limits": {}})))
 
     def tick(self):
         while not self.stopping:
@@ -291,6 +298,11 @@
         link.held = {"to", "from"}
         self.later(0.1, lambda: (link.clear(), [it.transport.pause_reading() for it in old]))
 
+    def silence_all_connections(self):
+        """Those of all nodes to the store and of the leader to workers."""
+        for it in self.nodes + list(self.world.machines.values()):
+            it.link.silence()
+
     def crash_worker(self):
         with self.world.lock:
             up = [it for it in self.world.machines.values() if it.life]
@@ -379,10 +391,15 @@
                   self.silence_open_connections, self.crash_worker, self.trouble_worker, self.lose_orders,
                   self.begin_wave, self.configure, self.kill_all]
         rare = {self.kill_all: 0.4}
+        if self.configurations_only:
+            faults = [self.configure, self.kill_node]
+            rare = {self.kill_node: 0.3}
         end = time.monotonic() + self.seconds
         next_fault = time.monotonic() + 2
         next_refusal = time.monotonic() + self.extra_random.uniform(2, 5)
         next_size = time.monotonic() + 2
+        next_configuration = time.monotonic() + 1
+        next_silence = time.monotonic() + self.config_random.uniform(1, 4)
         while time.monotonic() < end:
             now = time.monotonic()
             due = [it for it in self.schedule if it[0] <= now]
@@ -395,12 +412,18 @@
                 if self.random.random() < rare.get(fault, 1):
                     self.begin_fault(fault)
                 next_fault = now + self.random.uniform(0.2, 2.0)
-            if now >= next_refusal:
+            if now >= next_refusal and not self.configurations_only:
                 self.begin_fault(self.refuse_then_lose_leader)
                 next_refusal = now + self.extra_random.uniform(7, 10)
             if now >= next_size:
                 self.resize_worker()
                 next_size = now + self.extra_random.uniform(0.5, 2.0)
+            if now >= next_configuration:
+                self.configure(self.config_random)
+                next_configuration = now + self.config_random.uniform(0.3, 3.0)
+            if now >= next_silence:
+                self.begin_fault(self.silence_all_connections)
+                next_silence = now + self.config_random.uniform(5, 9)
             time.sleep(0.02)
 
     def calm(self):
@@ -439,6 +462,7 @@
             clients += [Burst(self, CLIENTS + i) for i in range(BURST_CLIENTS)]
             for it in clients:
                 it.start()
+            self.watch.start()
             self.play()
             self.calm()
             self.settling = True
@@ -489,12 +513,15 @@
     parser.add_argument("--machines", type=int, default=9)
     parser.add_argument("--deadly", type=float, default=0.03,
                         help="share of jobs with a task that crashes each worker that starts it")
+    parser.add_argument("--configurations", action="store_true",
+                        help="only new configurations, silent connections and killed nodes")
     args = parser.parse_args()
     seeds = []
     for part in args.seeds.split(","):
         first, _, last = part.partition("-")
         seeds += range(int(first), int(last or first) + 1)
-    results = [Soak(it, args.seconds, args.nodes, args.machines, args.deadly).run() for it in seeds]
+    results = [Soak(it, args.seconds, args.nodes, args.machines, args.deadly, args.configurations).run()
+               for it in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     return 0 if all(results) else 1
 
