--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -27,6 +27,7 @@
 /// Statuses from here on tell the client to retry, or that the outcome of its
 /// request is unknown.
 constexpr int kFirstRefusedStatus = 429;
+constexpr int kUnknownQueueStatus = 404;
 
 kernel::HttpLimits FrontLimits() {
   kernel::HttpLimits limits;
@@ -150,7 +151,8 @@
                      std::to_string(reply.status) + "\"");
   metrics_.Observe("hemlockward_request_ms", "method=\"" + method + "\"",
                    static_cast<double>((clock_.Now() - begin).count));
-  if (reply.status >= kFirstRefusedStatus) {
+  if (reply.status == kUnknownQueueStatus ||
+      reply.status >= kFirstRefusedStatus) {
     LogLine(LogLevel::kInfo, "request_refused")
         .With("path", path)
         .With("method", method)
