A new leader confirms the operator's rows at once; a full page isn't all of them

Found when the change was read again: a node that takes the lease went on waiting as a follower does (1.6 s), and a full page of changes counted as all.

--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -340,6 +340,7 @@
     co_return;
   }
   leads_ = true;
+  operator_rows_signal_.Notify();  // A leader confirms the rows more often.
   loaded_ = false;
   term_ = term;
   fence_ = heartbeat_version_ = version->version;
--- a/src/node/operator_rows.cc
+++ b/src/node/operator_rows.cc
@@ -40,6 +40,8 @@
                                     Millis asked, std::string_view source) {
   for (const platform::StoreRow& it : page.rows) ApplyOperatorRow(it, source);
   operator_version_ = std::max(operator_version_, page.version);
+  // More changes may follow those of a full page.
+  if (page.rows.size() >= platform::kMaxPageRows) return;
   operator_rows_as_of_ = std::max(operator_rows_as_of_, asked);
 }
 
--- a/tests/node_operator_rows_test.cc
+++ b/tests/node_operator_rows_test.cc
@@ -1,8 +1,7 @@
-#include "node/operator_rows.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "node/operator_rows.h"
 #include "node/peer_table.h"
 
 namespace hemlockward::node {
