A leader shares a few connections to each worker

Callers saw: after several losses of power of leaders' VMs, accepted jobs never ran and cancels were not carried out, for good. Workers accept 64 connections; a leader opened one for each call in progress and kept up to 64 idle, and those of a VM without power stay open at the worker. A few lost leaders used all of them up, and later leaders were reset.

Cause: nothing counted the connections that a worker accepts. HttpClient now limits the connections to one address, in use or idle; further calls wait in order, within their time-out. Leaders use four for each worker and close idle ones after 2 s. A call that gets none is known not to be sent.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -57,6 +57,7 @@
   problem = error.what;
   switch (error.failure) {
     case kernel::HttpFailure::kNotSent:
+    case kernel::HttpFailure::kNoConnection:
       failure = AttemptFailure::kNotSent;
       return error.what == kernel::kNotAllowedToSend
                  ? AttemptResult::kNotStarted
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -311,9 +311,6 @@
 
 namespace {
 
-// Shorter than the server's idle timeout, so that this side closes first.
-constexpr base::Millis kMaxIdleTime = base::Seconds(20);
-
 // A running VM accepts at once; one that is gone doesn't respond at all.
 constexpr base::Millis kConnectTimeout = base::Seconds(1);
 
@@ -329,6 +326,20 @@
 };
 using IdleConnections = std::list<IdleConnection>;
 
+// A call that waits until a connection to its address is free.
+struct WaitingCall {
+  explicit WaitingCall(asio::io_context& context)
+      : strand(asio::make_strand(context)), timer(strand) {}
+  asio::strand<asio::io_context::executor_type> strand;
+  asio::steady_timer timer;
+  bool admitted = false;  // Guarded by the client's mutex.
+};
+
+struct CallsInProgress {
+  std::size_t count = 0;
+  std::deque<std::shared_ptr<WaitingCall>> waiting;
+};
+
 // True if the server has closed the connection or sent unexpected data.
 bool IsStale(beast::tcp_stream& stream) {
   error_code ec;
@@ -345,6 +356,11 @@
   State(WorkerPool& pool, HttpClientLimits limits)
       : pool(pool), limits(limits) {}
 
+  /// Counts a call to `address` as in progress, once there are fewer than
+  /// connections that may be open. Returns false if it has to wait longer than
+  /// `timeout`.
+  asio::awaitable<bool> BeginCall(std::string address, base::Millis timeout);
+  void EndCall(const std::string& address);
   std::unique_ptr<beast::tcp_stream> TakeIdleConnection(
       const std::string& address);
   void StoreIdleConnection(const std::string& address,
@@ -362,11 +378,56 @@
   WorkerPool& pool;
   base::SystemClock clock;
   HttpClientLimits limits;
-  std::mutex mutex;      // Guards the idle connections.
+  std::mutex mutex;      // Guards the members below.
   IdleConnections idle;  // Least recently used first, as those by address.
   std::map<std::string, std::deque<IdleConnections::iterator>> idle_by_address;
+  // With `limits.open_per_address` only. A call opens a connection only if none
+  // is idle, so there are never more connections than calls were in progress.
+  std::map<std::string, CallsInProgress> calls;
 };
 
+asio::awaitable<bool> HttpClient::State::BeginCall(std::string address,
+                                                   base::Millis timeout) {
+  std::shared_ptr<WaitingCall> self;
+  {
+    const std::lock_guard lock(mutex);
+    CallsInProgress& in_progress = calls[address];
+    if (in_progress.count < limits.open_per_address) {
+      ++in_progress.count;
+      co_return true;
+    }
+    self = std::make_shared<WaitingCall>(pool.context());
+    self->timer.expires_after(timeout.ToChrono());
+    in_progress.waiting.push_back(self);
+  }
+  const auto wait = [self]() -> asio::awaitable<void> {
+    error_code ec;
+    co_await self->timer.async_wait(Redirect(ec));
+  };
+  co_await asio::co_spawn(self->strand, wait, asio::use_awaitable);
+  const std::lock_guard lock(mutex);
+  if (!self->admitted) std::erase(calls[address].waiting, self);
+  co_return self->admitted;
+}
+
+void HttpClient::State::EndCall(const std::string& address) {
+  const std::lock_guard lock(mutex);
+  const auto it = calls.find(address);
+  CallsInProgress& in_progress = it->second;
+  if (in_progress.waiting.empty()) {
+    if (--in_progress.count == 0) calls.erase(it);
+    return;
+  }
+  // Its place passes to the call that has waited longest.
+  const std::shared_ptr<WaitingCall> next = in_progress.waiting.front();
+  in_progress.waiting.pop_front();
+  next->admitted = true;
+  // Also ends a wait that hasn't begun yet, unlike a cancellation.
+  asio::post(next->strand, [next] {
+    next->timer.expires_at(asio::steady_timer::time_point::min());
+  });
+}
+
 std::unique_ptr<beast::tcp_stream> HttpClient::State::TakeIdleConnection(
     const std::string& address) {
   const std::lock_guard lock(mutex);
@@ -376,7 +437,7 @@
   while (!stream && !it->second.empty()) {
     const auto last = it->second.back();
     it->second.pop_back();
-    const bool fresh = clock.Now() - last->since < kMaxIdleTime;
+    const bool fresh = clock.Now() - last->since < limits.idle_time;
     if (fresh && !IsStale(*last->stream)) stream = std::move(last->stream);
     idle.erase(last);
   }
@@ -413,7 +474,7 @@
     CloseIdle(of_address.front());
   }
   while (idle.size() > limits.idle ||
-         now - idle.front().since >= kMaxIdleTime) {
+         now - idle.front().since >= limits.idle_time) {
     CloseIdle(idle.begin());
   }
 }
@@ -527,15 +588,26 @@
     std::string address, HttpRequest request, base::Millis timeout,
     std::function<bool()> may_send, base::Millis header_timeout) {
   auto state = state_;
+  const base::Millis begin = state->clock.Now();
+  const bool limited = state->limits.open_per_address > 0;
+  if (limited && !co_await state->BeginCall(address, timeout)) {
+    co_return tl::unexpected(
+        HttpError{HttpFailure::kNoConnection, "all connections stayed in use"});
+  }
+  const auto end = [&state, &address](const bool* counted) {
+    if (*counted) state->EndCall(address);
+  };
+  const std::unique_ptr<const bool, decltype(end)> in_progress(&limited, end);
+  const base::Millis left = timeout - (state->clock.Now() - begin);
   auto stream = state->TakeIdleConnection(address);
   if (!stream) {
     stream = std::make_unique<beast::tcp_stream>(
         asio::make_strand(state->pool.context()));
   }
   const auto executor = stream->get_executor();
-  auto exchange = state->SendRequest(std::move(address), std::move(request),
-                                     timeout, std::move(may_send),
-                                     header_timeout, std::move(stream));
+  auto exchange =
+      state->SendRequest(address, std::move(request), left, std::move(may_send),
+                         header_timeout, std::move(stream));
   co_return co_await asio::co_spawn(executor, std::move(exchange),
                                     asio::use_awaitable);
 }
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -94,10 +94,18 @@
 /// How far a failed call got; decides whether a retry is safe.
 enum class HttpFailure : std::uint8_t {
   kNotSent,  ///< No byte of the request was sent.
+  /// The same: all connections that the address allows stayed in use.
+  kNoConnection,
   kTimeout,  ///< Timed out; the server may have received some bytes.
   kBroken,   ///< The connection ended before a complete response.
 };
 
+/// Whether the server may have received a part of the request.
+inline bool MayHaveArrived(HttpFailure failure) {
+  return failure != HttpFailure::kNotSent &&
+         failure != HttpFailure::kNoConnection;
+}
+
 struct HttpError {
   HttpFailure failure = HttpFailure::kNotSent;
   std::string what;
@@ -108,8 +116,14 @@
     "no longer allowed to be sent";
 
 struct HttpClientLimits {
+  /// Open connections to one address, idle or in use; 0: no limit. Further
+  /// calls wait for one.
+  std::size_t open_per_address = 0;
   std::size_t idle_per_address = 64;  ///< Connections; at least 1.
   std::size_t idle = 1024;            ///< Connections to all addresses.
+  /// An idle connection is closed after this time. Shorter than the server's
+  /// idle timeout, so that this side closes first.
+  base::Millis idle_time = base::Seconds(20);
   std::uint64_t body_bytes = 64 * 1024 * 1024;  ///< Longest response.
 };
 
@@ -120,13 +134,14 @@
   ~HttpClient();
   [[nodiscard]] std::size_t idle_connections() const;
   /// Sends one request and returns the complete response; a response of unknown
-  /// length is an error. Idle connections that the server has closed are
-  /// discarded before use, and those to an address where a call on such a
-  /// connection has timed out, unless they were used after it was sent.
-  /// `may_send`, if given, is called once the connection is established, right
-  /// before the first byte is sent; if it returns false, the call fails with
-  /// kNotSent. If `header_timeout` isn't 0, the header of the response must
-  /// arrive within that time after the request was sent.
+  /// length is an error. `timeout` includes the wait for a free connection.
+  /// Idle connections that the server has closed are discarded before use, and
+  /// those to an address where a call on such a connection has timed out,
+  /// unless they were used after it was sent. `may_send`, if given, is called
+  /// once the connection is established, right before the first byte is sent;
+  /// if it returns false, the call fails with kNotSent. If `header_timeout`
+  /// isn't 0, the header of the response must arrive within that time after the
+  /// request was sent.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
       std::string address, HttpRequest request, base::Millis timeout,
       std::function<bool()> may_send = {}, base::Millis header_timeout = {0});
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -203,6 +203,7 @@
   worker = scheduler_.FindWorker(id);
   if (!worker) co_return;
   const Millis now = clock_.Now();
+  if (!report && report.error().failure == CallFailure::kOverload) co_return;
   if (!report) {
     if (!worker->unresponsive) {
       LogLine(LogLevel::kWarning, "worker_silent")
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -36,12 +36,23 @@
   return limits;
 }
 
+/// Workers accept a limited number of connections (64 at the users'), and those
+/// of a leader whose VM lost power stay open there: several leaders must fit.
+/// One waits for ends of runs, the others carry orders.
+constexpr std::size_t kConnectionsPerWorker = 4;
+constexpr Millis kWorkerIdleTime = base::Seconds(2);
+/// Idle connections to the store, the VM and the advice services.
+constexpr std::size_t kIdleServiceConnections = 64;
+
 // Connections of clients go first; half of the other descriptors is for calls
 // in progress.
-kernel::HttpClientLimits ClientLimits(const NodeSettings& settings) {
+kernel::HttpClientLimits WorkerClientLimits(const NodeSettings& settings) {
   kernel::HttpClientLimits limits;
+  limits.open_per_address = kConnectionsPerWorker;
+  limits.idle_time = kWorkerIdleTime;
   limits.idle =
-      static_cast<std::size_t>(settings.max_descriptors - kMaxConnections) / 2;
+      static_cast<std::size_t>(settings.max_descriptors - kMaxConnections) / 2 -
+      kIdleServiceConnections;
   return limits;
 }
 
@@ -56,8 +67,10 @@
       settings_(std::move(settings)),
       random_(base::SystemSeed()),
       incarnation_(random_() | 1U),
-      http_(pool, ClientLimits(settings_)),
-      platform_(http_, {settings_.store, settings_.machines, settings_.advice}),
+      http_(pool, {.idle = kIdleServiceConnections}),
+      worker_http_(pool, WorkerClientLimits(settings_)),
+      platform_(http_, worker_http_,
+                {settings_.store, settings_.machines, settings_.advice}),
       peer_client_(pool),
       operator_rows_signal_(pool.context()),
       config_signal_(pool.context()),
@@ -117,7 +130,8 @@
   set("hemlockward_configuration_version", config_.version);
   set("hemlockward_operator_rows_age_ms",
       (clock_.Now() - operator_rows_as_of_).count);
-  set("hemlockward_idle_connections", http_.idle_connections());
+  set("hemlockward_idle_connections",
+      http_.idle_connections() + worker_http_.idle_connections());
   set("hemlockward_jobs", scheduler_.job_count());
   set("hemlockward_runs", scheduler_.run_count());
   set("hemlockward_workers", scheduler_.workers().size());
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -231,6 +231,7 @@
   std::uint64_t incarnation_;
   base::Metrics metrics_;
   kernel::HttpClient http_;
+  kernel::HttpClient worker_http_;
   platform::PlatformClient platform_;
   peer::PeerClient peer_client_;
 
--- a/src/platform/table.cc
+++ b/src/platform/table.cc
@@ -47,7 +47,7 @@
 Attempt ClassifyAnswer(const tl::expected<HttpResponse, HttpError>& answer) {
   Attempt attempt;
   if (!answer) {
-    attempt.may_have_run = answer.error().failure != HttpFailure::kNotSent;
+    attempt.may_have_run = kernel::MayHaveArrived(answer.error().failure);
     attempt.result = Unavailable(answer.error().what);
     return attempt;
   }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -228,6 +228,71 @@
   pool.Stop();
 }
 
+// Counts the requests that it serves at the same time; each takes 20 ms.
+class CountingServer {
+ public:
+  explicit CountingServer(WorkerPool& pool)
+      : server_(pool, "127.0.0.1:0", HttpLimits{},
+                [this](const HttpRequest&) { return Handle(); }) {}
+  std::string Address() {
+    return "127.0.0.1:" + std::to_string(server_.port());
+  }
+  [[nodiscard]] int most() const { return most_; }
+
+ private:
+  asio::awaitable<HttpResponse> Handle() {
+    most_ = std::max(most_.load(), ++in_progress_);
+    co_await Sleep({20});
+    --in_progress_;
+    co_return JsonResponse(200, "{}");
+  }
+
+  std::atomic<int> in_progress_{0};
+  std::atomic<int> most_{0};
+  HttpServer server_;
+};
+
+// A leader once opened a connection for each start, up to all those that a
+// worker accepts, and left them there when its VM lost power.
+TEST(HttpClientTest, CallsShareTheConnectionsThatAnAddressAllows) {
+  constexpr int kCalls = 30;
+  constexpr std::size_t kLimit = 3;
+  WorkerPool pool(1);
+  CountingServer server(pool);
+  HttpClient client(pool, {.open_per_address = kLimit});
+  const std::jthread thread([&pool] { pool.Run(); });
+  std::vector<std::future<tl::expected<HttpResponse, HttpError>>> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(asio::co_spawn(
+        pool.context(),
+        client.Call(server.Address(), HttpRequest{}, base::Seconds(10)),
+        asio::use_future));
+  }
+  for (auto& it : calls) EXPECT_TRUE(it.get());
+  EXPECT_EQ(server.most(), kLimit);
+  EXPECT_LE(client.idle_connections(), kLimit);
+  pool.Stop();
+}
+
+TEST(HttpClientTest, CallThatGetsNoConnectionInTimeIsNotSent) {
+  WorkerPool pool(1);
+  CountingServer server(pool);
+  HttpClient client(pool, {.open_per_address = 1});
+  const std::jthread thread([&pool] { pool.Run(); });
+  auto first = asio::co_spawn(
+      pool.context(), client.Call(server.Address(), {}, base::Seconds(10)),
+      asio::use_future);
+  const auto second = tests::RunBlocking(
+      pool, client.Call(server.Address(), {}, base::Millis{1}));
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.error().failure, HttpFailure::kNoConnection);
+  EXPECT_TRUE(first.get());
+  // Its place isn't lost.
+  EXPECT_TRUE(tests::RunBlocking(
+      pool, client.Call(server.Address(), {}, base::Seconds(10))));
+  pool.Stop();
+}
+
 // A leader that starts tasks reads the registrations of all workers.
 TEST(HttpClientTest, LargeAnswerIsReadInFewTurnsOfABusyLoop) {
   WorkerPool server_pool(1);
--- a/tests/platform_answers_test.cc
+++ b/tests/platform_answers_test.cc
@@ -29,7 +29,7 @@
                   co_return kernel::JsonResponse(status_, "{}");
                 }),
         address_("127.0.0.1:" + std::to_string(server_.port())),
-        client_(http_, {address_, address_, ""}),
+        client_(http_, http_, {address_, address_, ""}),
         thread_([this] { pool_.Run(); }) {}
   ~AnswersTest() override {
     server_.CloseIdle();
--- a/tests/platform_orders_test.cc
+++ b/tests/platform_orders_test.cc
@@ -30,7 +30,7 @@
                       200, R"({"clock_ms":1,"active":[],"ended_runs":[]})");
                 }),
         address_("127.0.0.1:" + std::to_string(server_.port())),
-        client_(http_, {address_, address_, ""}),
+        client_(http_, http_, {address_, address_, ""}),
         thread_([this] { pool_.Run(); }) {
     worker_.id = "w";
     worker_.address = address_;
--- a/tests/platform_reading_test.cc
+++ b/tests/platform_reading_test.cc
@@ -30,7 +30,7 @@
             pool_, "127.0.0.1:0", {},
             [this](HttpRequest request) { return Serve(std::move(request)); }),
         address_("127.0.0.1:" + std::to_string(server_.port())),
-        client_(http_, {address_, address_, ""}),
+        client_(http_, http_, {address_, address_, ""}),
         thread_([this] { pool_.Run(); }) {}
   ~ReadingTest() override {
     server_.CloseIdle();
