A run that a full report lacks may have ended as done

Callers saw: tasks ran twice, about 130 of 640 after the store was down for 3 s, and without any fault where a step has thousands of short tasks.

Cause: a worker lists 500 ends at a time, the next ones once these are acknowledged. Each run that was neither active nor listed was taken for one that never began, and its task was started again, while the worker held its end as done. A new leader did the same with what had ended while no node led.

Reports now say whether ends may be missing. Such a report ends no run by its absence, and doesn't tell a new leader what earlier terms left on the worker: it waits for a complete one, or for the end of the lease as before. A worker with missing ends isn't idle, so its VM isn't moved.

--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -167,6 +167,8 @@
   std::int64_t started_at_ms = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
+  /// Further runs may have ended: they are listed once these are acknowledged.
+  bool more_ended = false;
 };
 
 enum class StartAnswer : std::uint8_t {
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -126,9 +126,8 @@
   const std::string& pool = QueueOf(job).service;
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
     const Worker& worker = it.second;
-    if (!worker.from_earlier_term || worker.adopted || worker.ended) {
-      return false;
-    }
+    const bool known = worker.adopted && worker.earlier_runs_known;
+    if (!worker.from_earlier_term || known || worker.ended) return false;
     if (now > worker.lease_expires_by) return false;
     return worker.entry.service == job.accepted_queue.service ||
            worker.entry.service == pool;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -395,6 +395,8 @@
   worker->last_report_at = now;
   worker->unresponsive = false;
   worker->adopted = true;
+  worker->more_ended = report.more_ended;
+  if (!report.more_ended) worker->earlier_runs_known = true;
   for (const EndedRun& it : report.ended) OnEnd(*worker, it, now);
   std::set<TaskId> active;
   worker->unknown_runs = 0;
@@ -405,8 +407,9 @@
   for (auto it = worker->runs.begin(); it != worker->runs.end();) {
     const auto next = std::next(it);
     const Run& run = it->second;
-    const bool settled =
-        run.phase == RunPhase::kRunning && run.settled_from < sent && is_newest;
+    const bool settled = run.phase == RunPhase::kRunning &&
+                         run.settled_from < sent && is_newest &&
+                         !report.more_ended;
     if (settled && !active.contains(it->first)) {
       const Run ended = run;
       EndRun(*worker, it, now);
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -632,7 +632,7 @@
 }
 
 bool Scheduler::IsIdle(const Worker& worker) const {
-  return worker.runs.empty() &&
+  return worker.runs.empty() && !worker.more_ended &&
          worker.reported_end_number == worker.confirmed_end_number;
 }
 
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -147,6 +147,11 @@
   bool listed = true;    ///< Its registration is in the store.
   bool ended = false;    ///< Its VM was moved or taken down.
   bool adopted = false;  ///< It has accepted the fencing token of this term.
+  /// Its newest report may lack ends: a run that it doesn't list may have ended
+  /// in any way.
+  bool more_ended = false;
+  /// A report of this term has listed all that earlier terms left there.
+  bool earlier_runs_known = false;
   /// Its row is committed, so tasks may be started on it.
   bool stored = false;
   bool from_earlier_term = false;
--- a/tests/jobs_store_limits_test.cc
+++ b/tests/jobs_store_limits_test.cc
@@ -1,6 +1,6 @@
 // The store refuses a transaction that holds a row over its limit, or more
-// bytes than it takes. One job's progress once grew beyond a row: no leader could
-// commit anything any more.
+// bytes than it takes. One job's progress once grew beyond a row: no leader
+// could commit anything any more.
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -174,9 +174,8 @@
 
 RC_GTEST_PROP(TextRowsTest, TextsAreReadAsWritten, ()) {
   const auto row_bytes = *rc::gen::inRange<std::size_t>(12, 40);
-  const auto sizes =
-      *rc::gen::container<std::vector<std::size_t>>(
-          rc::gen::inRange<std::size_t>(0, 700));
+  const auto sizes = *rc::gen::container<std::vector<std::size_t>>(
+      rc::gen::inRange<std::size_t>(0, 700));
   std::map<std::string, std::string> rows;
   std::map<std::string, std::string> texts;
   for (std::size_t i = 0; i < sizes.size(); ++i) {
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -143,6 +143,7 @@
  private:
   static constexpr Millis kLease{4000};
   static constexpr std::int64_t kStopGrace = 200;
+  static constexpr std::size_t kMaxEndsPerReport = 3;
 
   WallMillis Wall() const { return {1'700'000'000'000 + now_.count}; }
   bool Chance(double share) {
@@ -393,7 +394,10 @@
       WorkerReport report;
       report.clock_ms = Clock(other);
       report.started_at_ms = other.entry.started_at_ms;
-      report.ended = other.ended;
+      const std::size_t n = std::min(other.ended.size(), kMaxEndsPerReport);
+      report.ended.assign(other.ended.begin(),
+                          other.ended.begin() + static_cast<std::ptrdiff_t>(n));
+      report.more_ended = n == kMaxEndsPerReport;
       for (const auto& [task, work] : other.active) {
         const int percent = static_cast<int>(now_.count % 100);
         report.active.push_back({task, work.run, "", percent, 0});
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -62,6 +62,20 @@
   EXPECT_EQ(report->ended[0].kind, jobs::EndKind::kDone);
 }
 
+TEST(CodecTest, ReportWithAsManyEndsAsAWorkerListsMayLackSome) {
+  const auto report = [](std::size_t ends) {
+    std::string body = R"({"clock_ms":1,"active":[],"ended_runs":[)";
+    for (std::size_t i = 1; i <= ends; ++i) {
+      body += i > 1 ? "," : "";
+      body +=
+          "[" + std::to_string(i) + R"(,"0123456789abcdef.0.0.0",1,"done",""])";
+    }
+    return DecodeReport(body + "]}");
+  };
+  EXPECT_FALSE(report(kMaxEndsPerReport - 1)->more_ended);
+  EXPECT_TRUE(report(kMaxEndsPerReport)->more_ended);
+}
+
 TEST(CodecTest, RejectsWorkerEntriesOfOtherWriters) {
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
