A page that the store cut by its bytes isn't the whole list

A page of the feed counted as all changes up to its request unless it had 500 rows. The store also ends a page at 1 MB, which a few long entries of other writers fill: registrations and the operator's rows then counted as newer than they were. Suspected only, found while looking for limits that nothing counts: the pages don't say whether the feed is cut by its bytes.

StorePage tells now whether more may follow. CodecTest covers rows and bytes; the count of bytes didn't exist before.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -134,7 +134,7 @@
     }
     workers_version_ = std::max(workers_version_, page->version);
     // More changes may follow those of a full page.
-    if (page->rows.size() < platform::kMaxPageRows) {
+    if (!page->full) {
       // Without changes, the store has answered at the end of the wait.
       const bool waited = page->rows.empty() && took >= kFeedWait;
       scheduler_.OnRegistrationsRead(waited ? sent + kFeedWait : sent);
--- a/src/node/operator_rows.cc
+++ b/src/node/operator_rows.cc
@@ -41,7 +41,7 @@
   for (const platform::StoreRow& it : page.rows) ApplyOperatorRow(it, source);
   operator_version_ = std::max(operator_version_, page.version);
   // More changes may follow those of a full page.
-  if (page.rows.size() >= platform::kMaxPageRows) return;
+  if (page.full) return;
   operator_rows_as_of_ = std::max(operator_rows_as_of_, asked);
 }
 
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -62,6 +62,23 @@
   EXPECT_EQ(report->ended[0].kind, jobs::EndKind::kDone);
 }
 
+// The feed of registrations once counted as read up to now after such a page.
+TEST(CodecTest, PageWithAsManyRowsOrBytesAsTheStoreReturnsIsFull) {
+  const auto page = [](std::size_t rows, std::size_t value_bytes) {
+    std::string body = R"({"rows":[)";
+    for (std::size_t i = 0; i < rows; ++i) {
+      body += i > 0 ? "," : "";
+      body += R"({"table":"t","part":"","key":")" + std::to_string(i) +
+              R"(","value":")" + std::string(value_bytes, 'A') +
+              R"(","ver":1})";
+    }
+    return DecodePage(body + R"(],"ver":1,"now_ms":1})");
+  };
+  EXPECT_FALSE(page(kMaxPageRows - 1, 400)->full);
+  EXPECT_TRUE(page(kMaxPageRows, 400)->full);
+  EXPECT_TRUE(page(11, 87'380)->full);
+}
+
 TEST(CodecTest, ReportWithAsManyEndsAsAWorkerListsMayLackSome) {
   const auto report = [](std::size_t ends) {
     std::string body = R"({"clock_ms":1,"active":[],"ended_runs":[)";
