Split the scheduler's rows and the state of jobs from scheduler.cc

What is written to and read from the store stands in scheduler_rows.cc, the state of a job in job.h and job.cc. Functions are moved only.

No functional change

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -14,6 +14,7 @@
 
 #include "jobs/crash_history.h"
 #include "jobs/demand.h"
+#include "jobs/job.h"
 #include "jobs/model.h"
 #include "jobs/text_rows.h"
 
@@ -24,86 +25,6 @@
 /// worker.
 namespace hemlockward::jobs {
 
-enum class JobState : std::uint8_t {
-  kPending,
-  kRunning,
-  kCompleted,
-  kFailed,
-  kCancelled
-};
-
-std::string_view ToText(JobState state);
-inline bool HasEnded(JobState state) { return state >= JobState::kCompleted; }
-
-struct Task {
-  bool done = false;
-  bool started = false;
-  /// A run started by an earlier leader may be in progress on a worker that has
-  /// not reported to this leader yet.
-  bool possibly_running = false;
-  int active_runs = 0;  ///< Number of runs that are or may be in progress.
-  int last_run = 0;
-  std::vector<int> failed_runs;
-  CrashHistory crashes;
-  /// Workers on which the task failed or stalled.
-  std::vector<std::string> avoid;
-  std::string checkpoint;
-  Millis idle_since{0};
-};
-
-struct Step {
-  std::vector<Task> tasks;
-  int done = 0;
-};
-
-struct Occurrence {
-  std::vector<Step> steps;
-  int steps_done = 0;
-};
-
-struct Job {
-  std::string id;
-  std::string queue;     ///< Name of the queue that accepted the job.
-  Queue accepted_queue;  ///< Its configuration at acceptance, without route.
-  JobSpec spec;
-  std::string source;  ///< Request body of the client, for the store.
-  WallMillis accepted_wall{};
-  Millis accepted{0};
-  Millis objective{0};        ///< Local time by which the job should complete.
-  Millis chain{0};            ///< Critical path: longest chain of estimates.
-  Millis remaining_chain{0};  ///< The same of the steps that are not done.
-  double remaining_work = 0;  ///< Of the tasks that are not done, in core-ms.
-  JobState state = JobState::kPending;
-  /// Last committed state; visible to clients.
-  JobState committed_state = JobState::kPending;
-  bool stored = false;
-  bool sent = false;  ///< A transaction that contains the job was sent.
-  /// Number of changes to the crash histories of its tasks, and how many of
-  /// them are in the store.
-  int crash_changes = 0;
-  int committed_crash_changes = 0;
-  /// Failed runs of all tasks: they are stored until their task is done.
-  int failed_runs = 0;
-  /// Rows in the store that hold the job and its progress.
-  std::size_t job_rows = 0;
-  std::size_t progress_rows = 0;
-  bool earlier_term = false;
-  bool long_running = false;
-  Millis over_since{0};
-  int active_runs = 0;
-  std::vector<Occurrence> occurrences;
-  int occurrences_done = 0;
-};
-
-/// Recomputes the remaining chain and work of the job from its tasks.
-void UpdateRemaining(Job& job);
-/// Returns the work of `tasks` tasks of the step in core-ms, by the client's
-/// estimate.
-double StepWork(const StepSpec& step, int tasks);
-/// Returns true when all tasks of the steps in `after` are done.
-bool AreStepsBeforeDone(const JobSpec& spec, const Occurrence& occurrence,
-                        std::size_t step);
-
 enum class RunPhase : std::uint8_t {
   kSent,       ///< The start was sent; its answer is pending.
   kUnsettled,  ///< No answer; the run may start until a stop is acknowledged.
