Occurrences of a job are opened when they are due

Callers saw: one request of 200 bytes with a repeat_count of a million took each leader in turn over its memory; the system was without a leader as long as the client tried. Jobs that had repeated thousands of times made each commit longer.

Cause: all occurrences of a job were built when its request came, and kept: a client's number sized our memory and rows. Now an occurrence is opened 2 s before it is due and closed when it is done, and of those that are due at most 4,096 tasks are open (one occurrence at least). The progress row names the first one that wasn't opened and those that are open; tasks of an occurrence start only once the store tells that it was opened, so that the next leader knows all that may run. Rows of earlier versions are read.

OccurrencesStartWhenDue commits between its plans now, as starts wait for the store; it checks the same times, and that nothing starts 0.5 s early.

--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -1,14 +1,62 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hemlockward::jobs {
 
+int TaskCount(const JobSpec& spec) {
+  int n = 0;
+  for (const StepSpec& it : spec.steps) n += it.task_count;
+  return n;
+}
+
+Occurrence NewOccurrence(const JobSpec& spec, Millis now) {
+  Occurrence occurrence;
+  for (const StepSpec& it : spec.steps) {
+    Step step;
+    step.tasks.resize(static_cast<std::size_t>(it.task_count));
+    for (Task& task : step.tasks) task.idle_since = now;
+    occurrence.steps.push_back(std::move(step));
+  }
+  return occurrence;
+}
+
+bool IsDue(const JobSpec& spec, int occurrence, WallMillis wall) {
+  if (spec.occurrences == 0) return true;
+  if (spec.first_due > wall) return false;
+  // The time of a far occurrence may not fit into 64 bits.
+  const std::int64_t passed = (wall - spec.first_due).count;
+  return spec.interval.count == 0 || occurrence <= passed / spec.interval.count;
+}
+
+bool LoadOccurrence(Job& job, int number, Millis now) {
+  // Earlier versions opened all occurrences that were due.
+  constexpr std::size_t kMaxLoadedTasks = 100'000;
+  const std::size_t open = job.occurrences.size();
+  const auto tasks = static_cast<std::size_t>(TaskCount(job.spec));
+  if (open > 0 && (open + 1) * tasks > kMaxLoadedTasks) return false;
+  Occurrence& added = job.occurrences[number];
+  added = NewOccurrence(job.spec, now);
+  for (Step& step : added.steps) {
+    for (Task& it : step.tasks) it.possibly_running = job.earlier_term;
+  }
+  return true;
+}
+
+std::size_t HeldBytes(const Job& job) {
+  constexpr std::size_t kBytesOfTask = sizeof(Task) + 32;
+  return sizeof(Job) + 2 * job.source.size() +
+         job.spec.steps.size() * sizeof(StepSpec) +
+         job.occurrences.size() *
+             static_cast<std::size_t>(TaskCount(job.spec)) * kBytesOfTask;
+}
+
 void UpdateRemaining(Job& job) {
   job.remaining_chain = {0};
   job.remaining_work = 0;
   std::vector<Millis> ends;
-  for (const Occurrence& occurrence : job.occurrences) {
+  for (const auto& [number, occurrence] : job.occurrences) {
     ends.clear();
     for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
       const StepSpec& spec = job.spec.steps[i];
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,9 +46,14 @@
   int done = 0;
 };
 
+/// One execution of a job's steps.
 struct Occurrence {
   std::vector<Step> steps;
   int steps_done = 0;
+
+  [[nodiscard]] bool IsDone() const {
+    return steps_done == static_cast<int>(steps.size());
+  }
 };
 
 struct Job {
@@ -79,10 +86,36 @@
   bool long_running = false;
   Millis over_since{0};
   int active_runs = 0;
-  std::vector<Occurrence> occurrences;
+  /// The open ones by number. A job may repeat for years: an occurrence is
+  /// opened when it is due, and closed when it is done.
+  std::map<int, Occurrence> occurrences;
+  /// All earlier ones were opened; they are done unless they are open.
+  int next_occurrence = 0;
+  /// The same in the store. Tasks of an occurrence start only once the store
+  /// tells that it was opened, so that another leader knows it.
+  int committed_next_occurrence = 0;
   int occurrences_done = 0;
+  std::size_t held_bytes = 0;  ///< Approximate memory that it takes.
 };
 
+/// How often the steps of a job run.
+inline int OccurrenceCount(const JobSpec& spec) {
+  return std::max(1, spec.occurrences);
+}
+/// Tasks of one occurrence.
+int TaskCount(const JobSpec& spec);
+Occurrence NewOccurrence(const JobSpec& spec, Millis now);
+/// Whether the occurrence is due at `wall`.
+bool IsDue(const JobSpec& spec, int occurrence, WallMillis wall);
+/// Adds an open occurrence to a job that is read from the store. Returns false
+/// if the job has too many tasks open.
+bool LoadOccurrence(Job& job, int number, Millis now);
+/// Most tasks of one occurrence: the progress of a job must fit into one
+/// transaction.
+inline constexpr int kMaxTasks = 10'000;
+/// Approximate memory of a job.
+std::size_t HeldBytes(const Job& job);
+
 /// Recomputes the remaining chain and work of the job from its tasks.
 void UpdateRemaining(Job& job);
 /// Sets the time by which the job should complete, from its chain.
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -136,11 +136,10 @@
 
 bool Scheduler::IsStepReady(const Job& job, int occurrence, int step,
                             WallMillis wall) const {
-  if (!AreStepsBeforeDone(job.spec, job.occurrences[occurrence], step)) {
+  if (!AreStepsBeforeDone(job.spec, job.occurrences.at(occurrence), step)) {
     return false;
   }
-  if (job.spec.occurrences == 0) return true;
-  return job.spec.first_due + job.spec.interval * occurrence <= wall;
+  return IsDue(job.spec, occurrence, wall);
 }
 
 bool Scheduler::CanHost(const Job& job, const StepSpec& step,
@@ -230,7 +229,7 @@
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
   const Task& task =
-      job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+      job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
   const Suspicion suspicion = task.crashes.suspicion();
   // A worker may be kept free for this task.
   const bool kept_free =
@@ -298,7 +297,7 @@
     KeepFree(job, id, 1, pool, now);
     return false;
   }
-  Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+  Task& task = job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
   if (!AnnounceRun(job, task, number, worker->entry.id)) {
     if (task.crashes.suspicion() == Suspicion::kRunAlone) {
       worker->announced_until = now + kAnnouncementTime;
@@ -318,8 +317,10 @@
   order.task = id;
   order.run = number;
   order.deadline_ms = LeaseEnd(worker, now);
-  order.checkpoint =
-      job.occurrences[id.occurrence].steps[id.step].tasks[id.index].checkpoint;
+  order.checkpoint = job.occurrences.at(id.occurrence)
+                         .steps[id.step]
+                         .tasks[id.index]
+                         .checkpoint;
   if (queue.needs_tickets) {
     order.ticket = *TicketFor(id.StepName(), worker, orders, pool.workers, now);
   }
@@ -331,7 +332,7 @@
 // Starts all members of the gang or none; they share one run number.
 bool Scheduler::PlanGang(Job& job, const Queue& queue, int occurrence, int step,
                          Pool& pool, Orders& orders, Millis now) {
-  Step& state = job.occurrences[occurrence].steps[step];
+  Step& state = job.occurrences.at(occurrence).steps[step];
   int number = 0;
   std::string checkpoint;
   std::vector<std::pair<int, Millis>> before;
@@ -387,8 +388,9 @@
   bool all = true;
   const bool earlier_runs_settled =
       !job.earlier_term || !IsAdoptionPending(job, now);
-  for (int k = 0; k < static_cast<int>(job.occurrences.size()); ++k) {
-    auto& steps = job.occurrences[k].steps;
+  for (auto& [k, occurrence] : job.occurrences) {
+    if (k >= job.committed_next_occurrence) break;
+    auto& steps = occurrence.steps;
     for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
       Step& step = steps[s];
       const StepSpec& spec = job.spec.steps[s];
@@ -532,6 +534,9 @@
   if (max_starts == 0) return orders;
   std::map<std::string_view, Pool> pools;
   for (Job* it : active_jobs_) {
+    if (it->stored && it->spec.occurrences > 0) {
+      UpdateOccurrences(*it, now, wall);
+    }
     if (it->stored) pools[QueueOf(*it).service].jobs.push_back(it);
   }
   for (auto& [id, worker] : workers_) {
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -21,6 +21,14 @@
   return it && it->is_int64() ? it->get_int64() : 0;
 }
 
+// Returns the open occurrence whose number is `value`; null if there is none.
+Occurrence* FindOccurrence(const json::value& value, Job& job) {
+  boost::system::error_code ec;
+  const int number = value.to_number<int>(ec);
+  const auto it = ec ? job.occurrences.end() : job.occurrences.find(number);
+  return it == job.occurrences.end() ? nullptr : &it->second;
+}
+
 // Returns a position in a list of `size` entries; nullopt if the value is none.
 std::optional<std::size_t> Position(const json::value& value,
                                     std::size_t size) {
@@ -49,9 +57,9 @@
 bool ApplyDone(const json::value& value, Job& job) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 3 || !(*row)[2].is_string()) return false;
-  const auto occurrence = Position((*row)[0], job.occurrences.size());
+  Occurrence* occurrence = FindOccurrence((*row)[0], job);
   if (!occurrence) return false;
-  auto& steps = job.occurrences[*occurrence].steps;
+  auto& steps = occurrence->steps;
   const auto number = Position((*row)[1], steps.size());
   if (!number) return false;
   Step& step = steps[*number];
@@ -62,10 +70,8 @@
     ++step.done;
   }
   if (step.done == static_cast<int>(step.tasks.size())) {
-    Occurrence& whole = job.occurrences[*occurrence];
-    if (++whole.steps_done == static_cast<int>(whole.steps.size())) {
-      ++job.occurrences_done;
-    }
+    ++occurrence->steps_done;
+    if (occurrence->IsDone()) ++job.occurrences_done;
   }
   return true;
 }
@@ -107,9 +113,9 @@
                bool (*add)(const json::value&, Task&)) {
   const json::array* row = value.if_array();
   if (!row || row->size() != 4 || !(*row)[3].is_array()) return false;
-  const auto occurrence = Position((*row)[0], job.occurrences.size());
+  Occurrence* occurrence = FindOccurrence((*row)[0], job);
   if (!occurrence) return false;
-  auto& steps = job.occurrences[*occurrence].steps;
+  auto& steps = occurrence->steps;
   const auto step = Position((*row)[1], steps.size());
   if (!step) return false;
   auto& tasks = steps[*step].tasks;
@@ -121,16 +127,6 @@
   });
 }
 
-int CountFailedRuns(const Job& job) {
-  std::size_t n = 0;
-  for (const Occurrence& occurrence : job.occurrences) {
-    for (const Step& step : occurrence.steps) {
-      for (const Task& it : step.tasks) n += it.failed_runs.size();
-    }
-  }
-  return static_cast<int>(n);
-}
-
 // Applies each entry of the list `name`, which may be missing.
 template <class Apply>
 bool ApplyEach(const json::object& row, std::string_view name, Apply apply) {
@@ -140,6 +136,80 @@
   return std::all_of(entries.begin(), entries.end(), apply);
 }
 
+// The numbers of the open occurrences as rows [first, last].
+json::array EncodeOpen(const Job& job) {
+  json::array ranges;
+  std::optional<int> first;
+  int last = 0;
+  const auto add = [&] {
+    if (first) ranges.push_back(json::array{*first, last});
+  };
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.IsDone()) continue;
+    if (!first || number != last + 1) {
+      add();
+      first = number;
+    }
+    last = number;
+  }
+  add();
+  return ranges;
+}
+
+// Rows of earlier versions don't tell which occurrences were opened: those up
+// to the last one that they name. Returns how many.
+std::int64_t CountNamed(const json::object& row) {
+  std::int64_t n = 0;
+  for (const char* name : {"done", "failed", "lost"}) {
+    ApplyEach(row, name, [&n](const json::value& value) {
+      const json::array* entry = value.if_array();
+      const bool named = entry && !entry->empty() && (*entry)[0].is_int64();
+      if (named) n = std::max(n, (*entry)[0].get_int64() + 1);
+      return true;
+    });
+  }
+  return n;
+}
+
+// Opens the occurrences of a job that repeats.
+bool ApplyOpen(const json::object& row, Job& job, Millis now) {
+  const bool names_open = row.contains("next");
+  const std::int64_t next =
+      names_open ? IntegerOrZero(row, "next") : CountNamed(row);
+  if (next < 0 || next > OccurrenceCount(job.spec)) return false;
+  job.next_occurrence = static_cast<int>(next);
+  const auto open = [&job, now](std::size_t first, std::size_t last) {
+    for (std::size_t i = first; i <= last; ++i) {
+      if (!LoadOccurrence(job, static_cast<int>(i), now)) return false;
+    }
+    return true;
+  };
+  const auto open_range = [&job, &open](const json::value& value) {
+    const json::array* range = value.if_array();
+    if (!range || range->size() != 2) return false;
+    const auto limit = static_cast<std::size_t>(job.next_occurrence);
+    const auto first = Position((*range)[0], limit);
+    const auto last = Position((*range)[1], limit);
+    return first && last && open(*first, *last);
+  };
+  const bool read =
+      names_open ? ApplyEach(row, "open", open_range)
+                 : next == 0 || open(0, static_cast<std::size_t>(next - 1));
+  job.occurrences_done =
+      job.next_occurrence - static_cast<int>(job.occurrences.size());
+  return read;
+}
+
+int CountFailedRuns(const Job& job) {
+  std::size_t n = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& it : step.tasks) n += it.failed_runs.size();
+    }
+  }
+  return static_cast<int>(n);
+}
+
 }  // namespace
 
 // Format: one line of JSON, then the unmodified request body of the client.
@@ -187,9 +257,10 @@
   json::array failed;
   json::array lost;
   json::array unanswered;
-  for (std::size_t k = 0; k < job.occurrences.size(); ++k) {
-    for (std::size_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-      const Step& step = job.occurrences[k].steps[s];
+  for (const auto& [k, occurrence] : job.occurrences) {
+    const bool is_open = job.spec.occurrences == 0 || !occurrence.IsDone();
+    for (std::size_t s = 0; is_open && s < occurrence.steps.size(); ++s) {
+      const Step& step = occurrence.steps[s];
       std::string marks;
       for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
@@ -216,6 +287,10 @@
       if (step.done > 0) done.push_back(json::array{k, s, marks});
     }
   }
+  if (job.spec.occurrences > 0) {
+    row["next"] = job.next_occurrence;
+    row["open"] = EncodeOpen(job);
+  }
   row["done"] = std::move(done);
   if (!failed.empty()) row["failed"] = std::move(failed);
   if (!lost.empty()) row["lost"] = std::move(lost);
@@ -223,7 +298,7 @@
   return json::serialize(row);
 }
 
-bool DecodeProgressRow(std::string_view text, Job& job) {
+bool DecodeProgressRow(std::string_view text, Job& job, Millis now) {
   const auto row = ParseObject(text);
   if (!row) return false;
   const auto state = ParseState(TextOrEmpty(*row, "state"));
@@ -233,6 +308,10 @@
       !queue.empty()) {
     job.queue = queue;
   }
+  if (job.spec.occurrences > 0 && !HasEnded(job.state) &&
+      !ApplyOpen(*row, job, now)) {
+    return false;
+  }
   const auto done = [&job](const auto& it) { return ApplyDone(it, job); };
   const auto failed = [&job](const auto& it) {
     return ApplyRuns(it, job, AddFailedRun);
--- a/src/jobs/rows.h
+++ b/src/jobs/rows.h
@@ -36,7 +36,7 @@
 /// `with_losses`: with the runs that were lost with their workers.
 std::string EncodeProgressRow(const Job& job, bool with_losses = true);
 /// Applies the row to `job`. Returns false when the row is malformed.
-bool DecodeProgressRow(std::string_view text, Job& job);
+bool DecodeProgressRow(std::string_view text, Job& job, Millis now);
 std::string EncodeWorkerRow(const Worker& worker);
 /// Fills `worker.entry` if `entry` is true. Returns false when the row is
 /// malformed.
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -45,11 +45,11 @@
 constexpr Millis kLeaseMargin{150};
 
 Task& TaskOf(Job& job, const TaskId& id) {
-  return job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+  return job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
 }
 
 bool HasTask(const Job& job, const TaskId& id) {
-  return id.occurrence < static_cast<int>(job.occurrences.size()) &&
+  return job.occurrences.contains(id.occurrence) &&
          id.step < static_cast<int>(job.spec.steps.size()) &&
          id.index < job.spec.steps[id.step].task_count;
 }
@@ -523,7 +523,7 @@
 }
 
 void Scheduler::MarkDone(Job& job, const TaskId& id, Millis now) {
-  Occurrence& occurrence = job.occurrences[id.occurrence];
+  Occurrence& occurrence = job.occurrences.at(id.occurrence);
   Step& step = occurrence.steps[id.step];
   const StepSpec& spec = job.spec.steps[id.step];
   const int before = step.done;
@@ -539,12 +539,9 @@
   if (!HasEnded(job.state)) unsaved_jobs_.insert(&job);
   if (step.tasks[id.index].active_runs > 0) StopAll(job);
   if (step.done < spec.task_count) return;
-  if (++occurrence.steps_done < static_cast<int>(occurrence.steps.size())) {
-    return;
-  }
-  if (++job.occurrences_done < static_cast<int>(job.occurrences.size())) {
-    return;
-  }
+  ++occurrence.steps_done;
+  if (!occurrence.IsDone()) return;
+  if (++job.occurrences_done < OccurrenceCount(job.spec)) return;
   if (HasEnded(job.state)) return;
   job.state = JobState::kCompleted;
   job.over_since = now;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -20,6 +20,12 @@
 // How long a lost worker's successor may take to show that it crashed.
 constexpr Millis kExplanationWait = base::Seconds(30);
 
+// Tasks of all occurrences that a job may have open, unless a single one has
+// more.
+constexpr std::size_t kMaxOpenTasks = 4096;
+// An occurrence is opened this long before it is due: by then the store tells
+// other leaders, and VMs are there for it.
+constexpr Millis kOpenAhead = base::Seconds(2);
 // VMs are requested this long before they are needed: a move takes 1.5 s.
 constexpr Millis kForecastLeadTime{1600};
 
@@ -39,7 +45,7 @@
   tickets_.clear();
   jobs_.clear();
   arrivals_.clear();
-  run_count_ = 0;
+  run_count_ = held_bytes_ = 0;
 }
 
 void Scheduler::SetConfiguration(const Configuration& config) {
@@ -64,18 +70,18 @@
   job->queue = std::move(queue);
   job->spec = std::move(spec);
   job->accepted = now;
-  Occurrence occurrence;
   for (const StepSpec& it : job->spec.steps) {
-    Step step;
-    step.tasks.resize(static_cast<std::size_t>(it.task_count));
-    for (Task& task : step.tasks) task.idle_since = now;
-    occurrence.steps.push_back(std::move(step));
     job->long_running = job->long_running || it.long_running;
   }
-  const int count = std::max(1, job->spec.occurrences);
-  job->occurrences.assign(static_cast<std::size_t>(count), occurrence);
+  job->occurrences[0] = NewOccurrence(job->spec, now);
   UpdateRemaining(*job);
   job->chain = job->remaining_chain;
+  if (job->spec.occurrences == 0) {
+    job->next_occurrence = job->committed_next_occurrence = 1;
+  } else {
+    job->occurrences.clear();
+    UpdateRemaining(*job);
+  }
   Job& added = *job;
   if (!demand_since_ && !added.long_running) demand_since_ = now;
   jobs_[added.id] = std::move(job);
@@ -86,11 +92,13 @@
 Submission Scheduler::Submit(const Queue& queue, std::string id, JobSpec spec,
                              std::string source, Millis now, WallMillis wall) {
   if (jobs_.contains(id)) return Submission::kKnown;
+  if (held_bytes_ > settings_.max_held_bytes) return Submission::kRefused;
   Job& job = AddJob(std::move(id), queue.name, std::move(spec), now);
   job.accepted_queue = queue;
   job.source = std::move(source);
   job.accepted_wall = wall;
   SetObjective(job, queue);
+  UpdateHeldBytes(job);
   unsaved_jobs_.insert(&job);
   double work = 0;
   for (const StepSpec& it : job.spec.steps) {
@@ -115,6 +123,7 @@
         .With("queue", job->queue);
     active_jobs_.erase(job);
     unsaved_jobs_.erase(job);
+    held_bytes_ -= job->held_bytes;
     return true;
   });
 }
@@ -126,6 +135,7 @@
   if (job->stored || job->sent || HasEnded(job->state)) return false;
   active_jobs_.erase(job);
   unsaved_jobs_.erase(job);
+  held_bytes_ -= job->held_bytes;
   jobs_.erase(it);
   return true;
 }
@@ -184,6 +194,52 @@
   return n;
 }
 
+void Scheduler::UpdateOccurrences(Job& job, Millis now, WallMillis wall) {
+  const auto is_closed = [](const auto& it) {
+    const Occurrence& occurrence = it.second;
+    return occurrence.IsDone() &&
+           std::all_of(
+               occurrence.steps.begin(), occurrence.steps.end(),
+               [](const Step& step) {
+                 return std::all_of(
+                     step.tasks.begin(), step.tasks.end(),
+                     [](const Task& it) { return it.active_runs == 0; });
+               });
+  };
+  const std::size_t closed = std::erase_if(job.occurrences, is_closed);
+  const auto tasks = static_cast<std::size_t>(TaskCount(job.spec));
+  const int first = job.next_occurrence;
+  while (job.next_occurrence < OccurrenceCount(job.spec) &&
+         IsDue(job.spec, job.next_occurrence, wall + kOpenAhead)) {
+    const std::size_t open = job.occurrences.size();
+    const bool full = (open + 1) * tasks > kMaxOpenTasks ||
+                      held_bytes_ > settings_.max_held_bytes;
+    if (open > 0 && full) break;
+    job.occurrences[job.next_occurrence++] = NewOccurrence(job.spec, now);
+    UpdateHeldBytes(job);
+  }
+  const bool opened = job.next_occurrence > first;
+  if (opened) unsaved_jobs_.insert(&job);
+  if (!opened && closed == 0) return;
+  UpdateRemaining(job);
+  UpdateHeldBytes(job);
+}
+
+void Scheduler::UpdateHeldBytes(Job& job) {
+  held_bytes_ -= job.held_bytes;
+  job.held_bytes = HeldBytes(job);
+  held_bytes_ += job.held_bytes;
+}
+
+// An ended job is kept for its state only.
+void Scheduler::Release(Job& job) {
+  if (job.occurrences.empty()) return;
+  job.occurrences.clear();
+  job.source = {};
+  job.spec = {};
+  UpdateHeldBytes(job);
+}
+
 // Removes jobs that ended more than the retention time ago and workers that are
 // gone.
 void Scheduler::Expire(Millis now) {
@@ -191,14 +247,15 @@
   last_expiry_ = now;
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     Job& job = *it->second;
-    const bool old = HasEnded(job.committed_state) && job.active_runs == 0 &&
-                     !unsaved_jobs_.contains(&job) &&
-                     now - job.over_since > settings_.retention;
-    if (!old) {
+    const bool over = HasEnded(job.committed_state) && job.active_runs == 0 &&
+                      !unsaved_jobs_.contains(&job);
+    if (over) Release(job);
+    if (!over || now - job.over_since <= settings_.retention) {
       ++it;
       continue;
     }
     rows_.push_back({kProgressTable, job.id, "", true});
+    held_bytes_ -= job.held_bytes;
     it = jobs_.erase(it);
   }
   for (auto it = workers_.begin(); it != workers_.end();) {
@@ -230,7 +287,7 @@
   }
   for (const Job* job : active_jobs_) {
     PoolDemand& demand = demands[QueueOf(*job).service];
-    for (const Occurrence& occurrence : job->occurrences) {
+    for (const auto& [number, occurrence] : job->occurrences) {
       std::int64_t later = 0;
       for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
         const StepSpec& spec = job->spec.steps[i];
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -155,6 +155,8 @@
   Millis retention{130'000};  ///< How long an ended job is kept.
   /// Longest value of a row of the store.
   std::size_t row_bytes = 65'536;
+  /// Memory that jobs and their tasks may take; further jobs are refused.
+  std::size_t max_held_bytes = 64'000'000;
   JobOrder order = JobOrder::kSmallestFirst;
   bool forecast = true;  ///< Demand includes the forecast of arriving jobs.
 };
@@ -216,6 +218,7 @@
   std::string id;
   JobState state = JobState::kPending;
   int crash_changes = 0;
+  int next_occurrence = 0;
   std::size_t job_rows = 0;
   std::size_t progress_rows = 0;
 };
@@ -228,7 +231,11 @@
   std::vector<std::string> workers;  ///< Workers whose rows are written.
 };
 
-enum class Submission : std::uint8_t { kQueued, kKnown, kRefused };
+enum class Submission : std::uint8_t {
+  kQueued,
+  kKnown,
+  kRefused  ///< The jobs held take too much memory.
+};
 
 class Scheduler {
  public:
@@ -397,6 +404,10 @@
   void OnActive(Worker& worker, const ActiveRun& active, Millis sent,
                 Millis now);
   void MarkDone(Job& job, const TaskId& task, Millis now);
+  /// Closes occurrences that are done and opens those that are soon due.
+  void UpdateOccurrences(Job& job, Millis now, WallMillis wall);
+  void UpdateHeldBytes(Job& job);
+  void Release(Job& job);
   void FailJob(Job& job, Millis now);
   void CountFailure(Worker& worker, const Job& job, Millis now);
   void StopAll(Job& job);
@@ -481,6 +492,7 @@
   std::map<std::string, ArrivalRate, std::less<>> arrivals_;
   std::optional<Millis> demand_since_;
   std::size_t run_count_ = 0;
+  std::size_t held_bytes_ = 0;  ///< By all jobs.
   std::size_t max_starts_ = 0;  ///< Of the current plan.
   /// Number of plans; the pool that is planned first changes with each.
   std::size_t plans_ = 0;
--- a/src/jobs/scheduler_rows.cc
+++ b/src/jobs/scheduler_rows.cc
@@ -45,8 +45,8 @@
 
 std::vector<std::pair<TaskId, LostRun>> LostRuns(const Job& job) {
   std::vector<std::pair<TaskId, LostRun>> runs;
-  for (int k = 0; k < static_cast<int>(job.occurrences.size()); ++k) {
-    const auto& steps = job.occurrences[k].steps;
+  for (const auto& [k, occurrence] : job.occurrences) {
+    const auto& steps = occurrence.steps;
     for (int s = 0; s < static_cast<int>(steps.size()); ++s) {
       const auto& tasks = steps[s].tasks;
       for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
@@ -72,7 +72,9 @@
 
 CommittedJob Scheduler::EncodeJob(const Job& job,
                                   std::vector<RowWrite>& rows) const {
-  CommittedJob committed{job.id, job.state, job.crash_changes, job.job_rows};
+  CommittedJob committed{job.id, job.state, job.crash_changes};
+  committed.next_occurrence = job.next_occurrence;
+  committed.job_rows = job.job_rows;
   const bool over = HasEnded(job.state);
   const auto write = [&](const char* table, std::string text) {
     auto split = SplitIntoRows(job.id, std::move(text), settings_.row_bytes);
@@ -182,6 +184,7 @@
     job.stored = true;
     job.committed_state = committed.state;
     job.committed_crash_changes = committed.crash_changes;
+    job.committed_next_occurrence = committed.next_occurrence;
     job.job_rows = committed.job_rows;
     job.progress_rows = committed.progress_rows;
   }
@@ -267,10 +270,9 @@
   SetObjective(job, QueueOf(job));
   job.stored = true;
   job.earlier_term = true;
-  for (Occurrence& occurrence : job.occurrences) {
-    for (Step& step : occurrence.steps) {
-      for (Task& task : step.tasks) task.possibly_running = true;
-    }
+  if (job.spec.occurrences == 0) {
+    job.occurrences.clear();
+    LoadOccurrence(job, 0, now);
   }
   return true;
 }
@@ -292,16 +294,18 @@
   }
   Job& job = *it->second;
   job.progress_rows = joined.rows;
-  if (!DecodeProgressRow(joined.text, job)) return false;
+  if (!DecodeProgressRow(joined.text, job, now)) return false;
   for (const auto& [id, lost] : LostRuns(job)) {
     if (lost.crashed || lost.worker.empty()) continue;
     const Task& task =
-        job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+        job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
     unexplained_losses_.emplace(
         lost.worker,
         UnexplainedLoss{id, lost.run, task.crashes.RanAlone(lost.run), now});
   }
+  job.committed_next_occurrence = job.next_occurrence;
   UpdateRemaining(job);
+  UpdateHeldBytes(job);
   job.committed_state = job.state;
   if (HasEnded(job.state)) {
     active_jobs_.erase(&job);
--- a/src/jobs/suspects.cc
+++ b/src/jobs/suspects.cc
@@ -26,7 +26,7 @@
                          Pool& pool, Millis now) const {
   const StepSpec& step = job.spec.steps[id.step];
   const Task& task =
-      job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+      job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
   if (task.crashes.suspicion() != Suspicion::kRunAlone) return;
   if (!HasWaitedForAnEmptyWorker(task, now)) return;
   Resources need = step.need;
@@ -84,7 +84,8 @@
   if (worker.entry.draining || worker.reserved) return;
   for (const auto& [id, run] : worker.runs) {
     Job& job = *run.job;
-    Task& task = job.occurrences[id.occurrence].steps[id.step].tasks[id.index];
+    Task& task =
+        job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
     CrashHistory& crashes = task.crashes;
     if (HasEnded(job.state) || task.done) continue;
     if (crashes.announced_run >= run.number) continue;
--- a/src/node/calls.cc
+++ b/src/node/calls.cc
@@ -228,8 +228,16 @@
           .With("error", spec.error().what);
       co_return Refused(400, "job: " + spec.error().what);
     }
-    scheduler_.Submit(queue, id, *std::move(spec), std::move(call.body), begin,
-                      clock_.Wall());
+    if (jobs::TaskCount(*spec) > jobs::kMaxTasks) {
+      co_return Refused(
+          400, "job: more than " + std::to_string(jobs::kMaxTasks) + " tasks");
+    }
+    const auto submission =
+        scheduler_.Submit(queue, id, *std::move(spec), std::move(call.body),
+                          begin, clock_.Wall());
+    if (submission == jobs::Submission::kRefused) {
+      co_return Refused(429, "no room for more jobs");
+    }
     commit_signal_.Notify();
   }
   const Millis limit = call.deadline - kReplyReserve;
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -57,11 +57,15 @@
 }
 
 jobs::SchedulerSettings ToSchedulerSettings(const NodeSettings& settings) {
+  // The leader's jobs, beside what each node needs and the calls in progress.
+  constexpr std::int64_t kMegabyte = 1'000'000;
+  constexpr std::int64_t kMemoryShare = 4;
   jobs::SchedulerSettings scheduler;
   scheduler.lease = settings.worker_lease;
   scheduler.longest_lease = settings.longest_lease;
-  scheduler.row_bytes =
-      static_cast<std::size_t>(settings.store_limits.row_bytes);
+  scheduler.row_bytes = static_cast<std::size_t>(settings.limits.row_bytes);
+  scheduler.max_held_bytes = static_cast<std::size_t>(
+      settings.limits.memory_mb * kMegabyte / kMemoryShare);
   return scheduler;
 }
 
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -25,7 +25,7 @@
                  "IP:port of the VM service");
   reader.Text("platform.advice", &settings.advice,
               "IP:port of the advice service; empty: none");
-  Bind(settings.store_limits, reader);
+  Bind(settings.limits, reader);
   reader.Duration("worker_lease", &settings.worker_lease,
                   "length of the lease that the leader grants to a worker",
                   {500}, kMaxDuration);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -19,7 +19,7 @@
   std::string store;
   std::string machines;
   std::string advice;
-  platform::StoreLimits store_limits;
+  platform::Limits limits;
   base::Millis worker_lease{4000};   ///< Duration of a lease sent to workers.
   base::Millis longest_lease{6000};  ///< Longest lease that workers accept.
   base::Millis grace{6000};          ///< Time from stop signal to kill.
--- a/tests/jobs_crashes_fixture.h
+++ b/tests/jobs_crashes_fixture.h
@@ -179,7 +179,7 @@
   }
 
   const Task& FirstTask(const std::string& job) {
-    return scheduler_.FindJob(job)->occurrences[0].steps[0].tasks[0];
+    return scheduler_.FindJob(job)->occurrences.at(0).steps[0].tasks[0];
   }
 
   int lives_ = 0;
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -69,7 +69,7 @@
       "a", row, [](std::string_view) { return OneStep(Step(1, 1000)); }, now_,
       kWall));
   ASSERT_TRUE(next.LoadProgress("a", progress, now_));
-  const Task& task = next.FindJob("a")->occurrences[0].steps[0].tasks[0];
+  const Task& task = next.FindJob("a")->occurrences.at(0).steps[0].tasks[0];
   EXPECT_EQ(task.crashes.lost_runs.size(), 2U);
   EXPECT_EQ(task.crashes.suspicion(), Suspicion::kRunAlone);
 }
--- a/tests/jobs_durability_test.cc
+++ b/tests/jobs_durability_test.cc
@@ -352,13 +352,13 @@
   void CheckDone(const TaskId& task) const {
     const Job* job = scheduler_->FindJob(task.job);
     if (!job || HasEnded(job->state)) return;
-    RC_ASSERT(job->occurrences[0].steps[0].tasks[task.index].done);
+    RC_ASSERT(job->occurrences.at(0).steps[0].tasks[task.index].done);
   }
 
   void CheckFailures(const TaskId& id, int n) const {
     const Job* job = scheduler_->FindJob(id.job);
     if (!job || HasEnded(job->state)) return;
-    const Task& task = job->occurrences[0].steps[0].tasks[id.index];
+    const Task& task = job->occurrences.at(0).steps[0].tasks[id.index];
     RC_ASSERT(task.done || static_cast<int>(task.failed_runs.size()) >= n);
   }
 
--- a/tests/jobs_rows_test.cc
+++ b/tests/jobs_rows_test.cc
@@ -14,9 +14,7 @@
   Job job;
   job.id = "job";
   job.spec = testing::OneStep(testing::Step(4, 1000));
-  job.occurrences.resize(1);
-  job.occurrences[0].steps.resize(1);
-  job.occurrences[0].steps[0].tasks.resize(4);
+  job.occurrences[0] = NewOccurrence(job.spec, {0});
   return job;
 }
 
@@ -34,7 +32,7 @@
                          R"({"state":"running","lost":[[0,0,0,[[1,"w"]]]]})"}) {
     Job job = JobWithProgress();
     bool read = true;
-    EXPECT_NO_THROW(read = DecodeProgressRow(it, job)) << it;
+    EXPECT_NO_THROW(read = DecodeProgressRow(it, job, {0})) << it;
     EXPECT_FALSE(read) << it;
   }
 }
@@ -64,13 +62,13 @@
 
 TEST(RowsTest, LostRunsAreReadAsWritten) {
   Job job = JobWithProgress();
-  CrashHistory& crashes = job.occurrences[0].steps[0].tasks[2].crashes;
+  CrashHistory& crashes = job.occurrences.at(0).steps[0].tasks[2].crashes;
   crashes.lost_runs = {{1, "w1", true, false}, {2, "w2", false}};
   crashes.announced_run = 3;
   crashes.announced_worker = "w3";
   Job read = JobWithProgress();
-  ASSERT_TRUE(DecodeProgressRow(EncodeProgressRow(job), read));
-  const auto& runs = read.occurrences[0].steps[0].tasks[2].crashes.lost_runs;
+  ASSERT_TRUE(DecodeProgressRow(EncodeProgressRow(job), read, {0}));
+  const auto& runs = read.occurrences.at(0).steps[0].tasks[2].crashes.lost_runs;
   ASSERT_EQ(runs.size(), 3U);
   for (int i = 0; i < 3; ++i) {
     EXPECT_EQ(runs[i].run, i + 1);
@@ -92,7 +90,7 @@
 
 RC_GTEST_PROP(RowsTest, DamagedProgressRowsDoNotThrow, ()) {
   Job job = JobWithProgress();
-  Step& step = job.occurrences[0].steps[0];
+  Step& step = job.occurrences.at(0).steps[0];
   step.tasks[1].done = true;
   step.done = 1;
   step.tasks[2].failed_runs = {1, 2};
@@ -104,7 +102,7 @@
     row[at] = *rc::gen::elementOf(std::string("0129-.eE\"[]{},:nx"));
   }
   Job read = JobWithProgress();
-  static_cast<void>(DecodeProgressRow(row, read));
+  static_cast<void>(DecodeProgressRow(row, read, {0}));
 }
 
 }  // namespace
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -148,10 +148,15 @@
   spec.interval = {1000};
   Submit("a", spec);
   EXPECT_TRUE(Plan().starts.empty());
-  Orders orders = Plan({2000});
+  EXPECT_TRUE(Plan({1500}).starts.empty());
+  // The store has to know of an occurrence before it starts.
+  Commit();
+  Orders orders = Plan({500});
   ASSERT_EQ(orders.starts.size(), 1U);
   EXPECT_EQ(orders.starts[0].task.occurrence, 0);
-  orders = Plan({1000});
+  Commit();
+  EXPECT_TRUE(Plan({500}).starts.empty());
+  orders = Plan({500});
   ASSERT_EQ(orders.starts.size(), 1U);
   EXPECT_EQ(orders.starts[0].task.occurrence, 1);
 }
@@ -508,7 +513,7 @@
   }
   const Job* job = next.FindJob("a");
   ASSERT_NE(job, nullptr);
-  EXPECT_EQ(job->occurrences[0].steps[0].done, 1);
+  EXPECT_EQ(job->occurrences.at(0).steps[0].done, 1);
   EXPECT_EQ(job->queue, "queue");
 }
 
--- a/tests/jobs_store_limits_test.cc
+++ b/tests/jobs_store_limits_test.cc
@@ -128,8 +128,8 @@
   BeginTerm();
   const Job* job = scheduler_->FindJob("a");
   ASSERT_TRUE(job);
-  EXPECT_EQ(job->occurrences[0].steps[0].done, kTasks / 2);
-  for (const Task& it : job->occurrences[0].steps[0].tasks) {
+  EXPECT_EQ(job->occurrences.at(0).steps[0].done, kTasks / 2);
+  for (const Task& it : job->occurrences.at(0).steps[0].tasks) {
     EXPECT_EQ(it.failed_runs.size(), it.done ? 0U : 1U);
   }
   // The rows that a shorter text doesn't need are removed with it.
--- a/tests/jobs_world.h
+++ b/tests/jobs_world.h
@@ -61,6 +61,9 @@
   }
 
   [[nodiscard]] Millis now() const { return now_; }
+  [[nodiscard]] WallMillis Wall() const {
+    return {1'700'000'000'000 + now_.count};
+  }
   [[nodiscard]] const std::vector<std::string>& violations() const {
     return violations_;
   }
@@ -145,7 +148,6 @@
   static constexpr std::int64_t kStopGrace = 200;
   static constexpr std::size_t kMaxEndsPerReport = 3;
 
-  WallMillis Wall() const { return {1'700'000'000'000 + now_.count}; }
   bool Chance(double share) {
     return share > 0 &&
            std::uniform_real_distribution<double>(0, 1)(random_) < share;
@@ -258,7 +260,7 @@
     const JobSpec& spec = specs_.at(order.task.job);
     for (const int it : spec.steps[order.task.step].after) {
       for (int i = 0; i < spec.steps[it].task_count; ++i) {
-        if (!done_.contains({order.task.job, 0, it, i})) {
+        if (!done_.contains({order.task.job, order.task.occurrence, it, i})) {
           ReportViolation("task started before the steps it depends on: " +
                           name);
         }
--- a/tests/jobs_world_test.cc
+++ b/tests/jobs_world_test.cc
@@ -44,7 +44,13 @@
     World world(seed, GetParam().faults, 6);
     world.Run(Millis{200});
     for (int i = 0; i < kJobs; ++i) {
-      world.Submit(TwoSteps(1 + i % 8));
+      JobSpec spec = TwoSteps(1 + i % 8);
+      if (i % 5 == 0) {
+        spec.occurrences = 4;
+        spec.interval = {150};
+        spec.first_due = world.Wall();
+      }
+      world.Submit(std::move(spec));
       world.Run(Millis{100});
     }
     world.Run(Millis{30'000});
