--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -52,6 +52,12 @@
              static_cast<std::size_t>(TaskCount(job.spec)) * kBytesOfTask;
 }
 
+bool HasTask(const Job& job, const TaskId& id) {
+  return job.occurrences.contains(id.occurrence) &&
+         id.step < static_cast<int>(job.spec.steps.size()) &&
+         id.index < job.spec.steps[id.step].task_count;
+}
+
 void UpdateRemaining(Job& job) {
   job.remaining_chain = {0};
   job.remaining_work = 0;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -116,6 +116,15 @@
 /// Approximate memory of a job.
 std::size_t HeldBytes(const Job& job);
 
+/// Whether the task belongs to an open occurrence of the job.
+bool HasTask(const Job& job, const TaskId& id);
+/// The task, which must exist.
+inline Task& TaskOf(Job& job, const TaskId& id) {
+  return job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+}
+inline const Task& TaskOf(const Job& job, const TaskId& id) {
+  return job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+}
 /// Recomputes the remaining chain and work of the job from its tasks.
 void UpdateRemaining(Job& job);
 /// Sets the time by which the job should complete, from its chain.
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -228,8 +228,7 @@
   const StepSpec& step = job.spec.steps[id.step];
   Resources need = step.need;
   if (step.fills) need.cpu_milli = 0;
-  const Task& task =
-      job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+  const Task& task = TaskOf(job, id);
   const Suspicion suspicion = task.crashes.suspicion();
   // A worker may be kept free for this task.
   const bool kept_free =
@@ -297,7 +296,7 @@
     KeepFree(job, id, 1, pool, now);
     return false;
   }
-  Task& task = job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+  Task& task = TaskOf(job, id);
   if (!AnnounceRun(job, task, number, worker->entry.id)) {
     if (task.crashes.suspicion() == Suspicion::kRunAlone) {
       worker->announced_until = now + kAnnouncementTime;
@@ -317,10 +316,7 @@
   order.task = id;
   order.run = number;
   order.deadline_ms = LeaseEnd(worker, now);
-  order.checkpoint = job.occurrences.at(id.occurrence)
-                         .steps[id.step]
-                         .tasks[id.index]
-                         .checkpoint;
+  order.checkpoint = TaskOf(job, id).checkpoint;
   if (queue.needs_tickets) {
     order.ticket = *TicketFor(id.StepName(), worker, orders, pool.workers, now);
   }
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -161,6 +161,8 @@
   bool forecast = true;  ///< Demand includes the forecast of arriving jobs.
 };
 
+/// Allowance for the time between stamping an order and its arrival.
+inline constexpr Millis kLeaseMargin{150};
 /// Returns the longest time that the lease of an order may last after the order
 /// was made, if the worker's clock was last read `unread` before the order.
 /// Without `unread`, returns the maximum.
--- a/src/jobs/scheduler_rows.cc
+++ b/src/jobs/scheduler_rows.cc
@@ -297,8 +297,7 @@
   if (!DecodeProgressRow(joined.text, job, now)) return false;
   for (const auto& [id, lost] : LostRuns(job)) {
     if (lost.crashed || lost.worker.empty()) continue;
-    const Task& task =
-        job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+    const Task& task = TaskOf(job, id);
     unexplained_losses_.emplace(
         lost.worker,
         UnexplainedLoss{id, lost.run, task.crashes.RanAlone(lost.run), now});
--- a/src/jobs/suspects.cc
+++ b/src/jobs/suspects.cc
@@ -25,8 +25,7 @@
 void Scheduler::KeepFree(const Job& job, const TaskId& id, int tasks,
                          Pool& pool, Millis now) const {
   const StepSpec& step = job.spec.steps[id.step];
-  const Task& task =
-      job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+  const Task& task = TaskOf(job, id);
   if (task.crashes.suspicion() != Suspicion::kRunAlone) return;
   if (!HasWaitedForAnEmptyWorker(task, now)) return;
   Resources need = step.need;
@@ -84,8 +83,7 @@
   if (worker.entry.draining || worker.reserved) return;
   for (const auto& [id, run] : worker.runs) {
     Job& job = *run.job;
-    Task& task =
-        job.occurrences.at(id.occurrence).steps[id.step].tasks[id.index];
+    Task& task = TaskOf(job, id);
     CrashHistory& crashes = task.crashes;
     if (HasEnded(job.state) || task.done) continue;
     if (crashes.announced_run >= run.number) continue;
