A lasting task is restarted however many workers it loses

Callers saw: a job that lasts was shown as failed, and its other tasks, at work on sound workers, were stopped at once, after one of its tasks had lost three workers before it was at work again.

Such a job isn't given up now; its task runs alone after two losses, as before. Eight losses are kept, so that its row doesn't grow.

--- a/src/jobs/crash_history.cc
+++ b/src/jobs/crash_history.cc
@@ -18,6 +18,8 @@
 constexpr int kCrashesToGiveUp = 2;
 /// Known crashes after which it is given up even if no start was answered.
 constexpr int kMaxCrashes = 4;
+/// Losses that are kept; a task that isn't given up may go on losing workers.
+constexpr std::size_t kMaxKept = 8;
 
 }  // namespace
 
@@ -28,6 +30,7 @@
       [&lost](const LostRun& other) { return other.run == lost.run; });
   if (it != lost_runs.end()) return lost.crashed && Confirm(lost.run);
   lost_runs.push_back(std::move(lost));
+  if (lost_runs.size() > kMaxKept) lost_runs.erase(lost_runs.begin());
   return true;
 }
 
--- a/src/jobs/losses.cc
+++ b/src/jobs/losses.cc
@@ -50,6 +50,8 @@
 
 void Scheduler::GiveUpIfDeadly(Job& job, const TaskId& id, bool alone,
                                Millis now) {
+  // Such a task is restarted however it ends, and serves others meanwhile.
+  if (job.spec.steps[id.step].long_running) return;
   const CrashHistory& crashes = TaskOf(job, id).crashes;
   if (!crashes.ShouldGiveUp(alone)) return;
   LogLine(LogLevel::kWarning, "job_failed")
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -40,6 +40,25 @@
   EXPECT_EQ(scheduler_.FindJob("sound")->state, JobState::kRunning);
 }
 
+// Its job was once failed, and its other tasks at work were stopped.
+TEST_F(CrashTest, LastingTaskIsRestartedHoweverManyWorkersItLoses) {
+  constexpr int kLosses = 20;
+  constexpr std::size_t kMostKept = 8;
+  AddVms(8);
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  Submit("a", OneStep(step));
+  for (int i = 0; i < kLosses; ++i) {
+    const StartOrder order = StartWithin(base::Seconds(10));
+    ASSERT_FALSE(order.worker.empty()) << "after " << i << " losses";
+    now_ += Millis{10};
+    Crash(order.worker);
+    Store();
+  }
+  EXPECT_FALSE(HasEnded(scheduler_.FindJob("a")->state));
+  EXPECT_LE(FirstTask("a").crashes.lost_runs.size(), kMostKept);
+}
+
 TEST_F(CrashTest, LossOfAWorkerIsStoredBeforeTheTaskStartsAgain) {
   AddVms(2);
   Submit("a", OneStep(Step(1, 1000)));
