Connections to a worker are limited by how many leaders it has lost

Now the first leader of a worker may open 32 connections, and each one after a leader that didn't release the lease half as many, two at least; six of them fit into the 64 that a worker accepts. The lease's row counts lost holders, a worker's row how many there were when its incarnation was first used. At most eight idle ones are kept, for 2 s.

--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -101,6 +101,7 @@
   bool draining = false;
   /// Start of this incarnation, Unix ms; 0: unknown.
   std::int64_t started_at_ms = 0;
+  int max_connections = 0;  ///< That this leader may open to it; 0: any number.
 };
 
 enum class VmState : std::uint8_t { kUp, kMoving, kUpkeep, kDown };
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -331,17 +331,21 @@
 }
 
 std::string EncodeWorkerRow(const Worker& worker) {
-  return json::serialize(json::object{{"address", worker.entry.address},
-                                      {"service", worker.entry.service},
-                                      {"zone", worker.entry.zone},
-                                      {"machine", worker.entry.vm},
-                                      {"started", worker.started_at_ms}});
+  return json::serialize(
+      json::object{{"address", worker.entry.address},
+                   {"service", worker.entry.service},
+                   {"zone", worker.entry.zone},
+                   {"machine", worker.entry.vm},
+                   {"started", worker.started_at_ms},
+                   {"lost_before", worker.leaders_lost_before}});
 }
 
 bool DecodeWorkerRow(std::string_view text, Worker& worker, bool entry) {
   const auto row = ParseObject(text);
   if (!row) return false;
   worker.row_started_at_ms = IntegerOrZero(*row, "started");
+  worker.leaders_lost_before =
+      static_cast<int>(IntegerOrZero(*row, "lost_before"));
   if (!entry) return true;
   worker.entry.address = TextOrEmpty(*row, "address");
   worker.entry.service = TextOrEmpty(*row, "service");
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -246,6 +246,10 @@
       !same_clock || report.clock_ms > worker->report_clock_ms;
   worker->report_clock_ms = report.clock_ms;
   RecordReturn(*worker, report, sent, now);
+  if (worker->started_at_ms == 0 &&
+      report.started_at_ms != worker->row_started_at_ms) {
+    worker->leaders_lost_before = leaders_lost_;
+  }
   if (report.started_at_ms > 0) worker->started_at_ms = report.started_at_ms;
   worker->clock_ms = report.clock_ms;
   worker->clock_at = now;
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -31,8 +31,10 @@
 
 }  // namespace
 
-void Scheduler::BeginTerm(std::uint64_t term, Millis earlier_leases_expire_at) {
+void Scheduler::BeginTerm(std::uint64_t term, Millis earlier_leases_expire_at,
+                          int leaders_lost) {
   term_ = term;
+  leaders_lost_ = leaders_lost;
   earlier_leases_expire_at_ = earlier_leases_expire_at;
   renewed_ = {-1};
   registrations_as_of_.reset();
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -98,6 +98,8 @@
   std::int64_t started_at_ms = 0;
   /// The same of the incarnation in its row; 0: unknown.
   std::int64_t row_started_at_ms = 0;
+  /// Leaders lost before one first used this incarnation.
+  int leaders_lost_before = 0;
   /// Reading of its clock at local time `clock_at`.
   std::int64_t clock_ms = 0;
   Millis clock_at{0};
@@ -122,6 +124,10 @@
   std::map<std::string, int, std::less<>> per_step;
 };
 
+/// How many connections a leader may open to a worker if `lost` earlier leaders
+/// have used it. Workers accept 64, and those of a leader whose VM lost power
+/// stay open there.
+int MaxConnections(int lost);
 /// A long-running task pins its VM to the pool.
 bool HostsLongRunningTask(const Worker& worker);
 /// Whether no run on the worker except those of `job` may crash it:
@@ -249,7 +255,9 @@
   /// Clears all state. Run numbers assigned from now on exceed those of any
   /// earlier term. `earlier_leases_expire_at` is the time by which leases
   /// granted by the previous leader have expired on unreachable workers.
-  void BeginTerm(std::uint64_t term, Millis earlier_leases_expire_at);
+  /// `leaders_lost`: earlier leaders that didn't release the lease.
+  void BeginTerm(std::uint64_t term, Millis earlier_leases_expire_at,
+                 int leaders_lost = 0);
   void SetConfiguration(const Configuration& config);
   /// The leader's lease was renewed by a call that was sent at `sent`: no other
   /// leader had acted before.
@@ -334,6 +342,8 @@
   void OnCommitFailed(const Batch& batch);
 
   [[nodiscard]] Worker* FindWorker(std::string_view id);
+  /// The worker's entry with the connections that this leader may open.
+  [[nodiscard]] WorkerEntry EntryForCalls(const Worker& worker) const;
   [[nodiscard]] std::map<std::string, Worker, std::less<>>& workers() {
     return workers_;
   }
@@ -480,6 +490,7 @@
   /// Newest configuration by queue name.
   std::map<std::string, Queue, std::less<>> queues_;
   std::uint64_t term_ = 0;
+  int leaders_lost_ = 0;
   Millis earlier_leases_expire_at_{0};
   Millis renewed_{-1};  ///< Send time of the newest renewal of this term.
   bool needs_renewal_ = false;  ///< In the current plan.
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -27,7 +27,10 @@
   }
   const auto [it, fresh] = workers_.try_emplace(entry.id);
   Worker& worker = it->second;
-  if (fresh) worker.idle_since = worker.known_since = now;
+  if (fresh) {
+    worker.idle_since = worker.known_since = now;
+    worker.leaders_lost_before = leaders_lost_;
+  }
   if (entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
       entry.started_at_ms > worker.started_at_ms) {
     BeginIncarnation(worker, entry.started_at_ms, now);
@@ -133,6 +136,21 @@
   }
 }
 
+int MaxConnections(int lost) {
+  // Halved with each lost leader: all of them together stay below 64.
+  constexpr int kFirst = 32;
+  constexpr int kLeast = 2;  // One waits for ends of runs.
+  constexpr int kMostHalvings = 4;
+  return std::max(kLeast, kFirst >> std::clamp(lost, 0, kMostHalvings));
+}
+
+WorkerEntry Scheduler::EntryForCalls(const Worker& worker) const {
+  WorkerEntry entry = worker.entry;
+  entry.max_connections =
+      MaxConnections(leaders_lost_ - worker.leaders_lost_before);
+  return entry;
+}
+
 Worker* Scheduler::FindWorker(std::string_view id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -357,9 +357,9 @@
       : pool(pool), limits(limits) {}
 
   /// Counts a call to `address` as in progress, once there are fewer than
-  /// connections that may be open. Returns false if it has to wait longer than
-  /// `timeout`.
-  asio::awaitable<bool> BeginCall(std::string address, base::Millis timeout);
+  /// `max_open`. Returns false if it has to wait longer than `timeout`.
+  asio::awaitable<bool> BeginCall(std::string address, base::Millis timeout,
+                                  std::size_t max_open);
   void EndCall(const std::string& address);
   std::unique_ptr<beast::tcp_stream> TakeIdleConnection(
       const std::string& address);
@@ -381,18 +381,19 @@
   std::mutex mutex;      // Guards the members below.
   IdleConnections idle;  // Least recently used first, as those by address.
   std::map<std::string, std::deque<IdleConnections::iterator>> idle_by_address;
-  // With `limits.open_per_address` only. A call opens a connection only if none
-  // is idle, so there are never more connections than calls were in progress.
+  // With `max_open` only. A call opens a connection only if none is idle, so
+  // there are never more connections than calls were in progress.
   std::map<std::string, CallsInProgress> calls;
 };
 
 asio::awaitable<bool> HttpClient::State::BeginCall(std::string address,
-                                                   base::Millis timeout) {
+                                                   base::Millis timeout,
+                                                   std::size_t max_open) {
   std::shared_ptr<WaitingCall> self;
   {
     const std::lock_guard lock(mutex);
     CallsInProgress& in_progress = calls[address];
-    if (in_progress.count < limits.open_per_address) {
+    if (in_progress.count < max_open) {
       ++in_progress.count;
       co_return true;
     }
@@ -586,11 +587,12 @@
 
 asio::awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::Call(
     std::string address, HttpRequest request, base::Millis timeout,
-    std::function<bool()> may_send, base::Millis header_timeout) {
+    std::function<bool()> may_send, base::Millis header_timeout,
+    std::size_t max_open) {
   auto state = state_;
   const base::Millis begin = state->clock.Now();
-  const bool limited = state->limits.open_per_address > 0;
-  if (limited && !co_await state->BeginCall(address, timeout)) {
+  const bool limited = max_open > 0;
+  if (limited && !co_await state->BeginCall(address, timeout, max_open)) {
     co_return tl::unexpected(
         HttpError{HttpFailure::kNoConnection, "all connections stayed in use"});
   }
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -116,9 +116,6 @@
     "no longer allowed to be sent";
 
 struct HttpClientLimits {
-  /// Open connections to one address, idle or in use; 0: no limit. Further
-  /// calls wait for one.
-  std::size_t open_per_address = 0;
   std::size_t idle_per_address = 64;  ///< Connections; at least 1.
   std::size_t idle = 1024;            ///< Connections to all addresses.
   /// An idle connection is closed after this time. Shorter than the server's
@@ -142,9 +139,12 @@
   /// if it returns false, the call fails with kNotSent. If `header_timeout`
   /// isn't 0, the header of the response must arrive within that time after the
   /// request was sent.
+  /// If `max_open` isn't 0, the call waits while so many calls to the address
+  /// are in progress, which then have as many connections, idle ones included.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
       std::string address, HttpRequest request, base::Millis timeout,
-      std::function<bool()> may_send = {}, base::Millis header_timeout = {0});
+      std::function<bool()> may_send = {}, base::Millis header_timeout = {0},
+      std::size_t max_open = 0);
 
  private:
   struct State;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -194,7 +194,7 @@
   if (deadline > 0) scheduler_.RecordLease(*worker, sent);
   std::string body =
       platform::EncodeHold(fence_, acknowledged, deadline, report_wait);
-  const jobs::WorkerEntry entry = worker->entry;
+  const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::int64_t started_at_ms = worker->started_at_ms;
   auto report = co_await platform_.Hold(entry, std::move(body),
                                         report_wait + kReportTimeoutSlack,
@@ -331,7 +331,7 @@
     scheduler_.OnStart(order, jobs::StartAnswer::kRefused, sent);
     co_return;
   }
-  const jobs::WorkerEntry entry = worker->entry;
+  const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::string payload = job->spec.payload;
   platform::StartRequest request{order.task,        order.run, payload,
                                  order.deadline_ms, fence_,    order.checkpoint,
@@ -374,7 +374,7 @@
   const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
   bool answered = false;
   if (worker && CanSendOrders()) {
-    const jobs::WorkerEntry entry = worker->entry;
+    const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
     std::string body = platform::EncodeStop(order.task, order.run, fence_);
     answered = co_await platform_.Stop(entry, std::move(body), kOrderTimeout,
                                        OrderPermission(term));
@@ -397,7 +397,7 @@
                                          jobs::PaceOrder order) {
   const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
   if (!worker || !CanSendOrders() || !IsLeading(term)) co_return;
-  const jobs::WorkerEntry entry = worker->entry;
+  const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   std::string body =
       platform::EncodePace(order.task, order.run, order.percent, fence_);
   const bool done = co_await platform_.Pace(
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -317,6 +317,11 @@
   LeaseRow row{settings_.name, settings_.peer, incarnation_, term};
   row.earlier_orders_end_ms = earlier.orders_end_ms;
   row.vm_orders_from_ms = earlier.vm_orders_from_ms;
+  if (view.lease) {
+    const bool lost =
+        !view.lease->released && view.lease->incarnation != incarnation_;
+    row.lost_holders = view.lease->lost_holders + (lost ? 1 : 0);
+  }
   platform::StoreTransaction transaction;
   transaction.part = kPart;
   transaction.conditions.push_back(
@@ -354,7 +359,8 @@
   const Millis given = jobs::LongestLease({settings_.worker_lease});
   const Millis lease = std::min(settings_.longest_lease, given) + kLeaseSlack;
   scheduler_.BeginTerm(term,
-                       std::max(earlier.orders_end, earlier.renewed) + lease);
+                       std::max(earlier.orders_end, earlier.renewed) + lease,
+                       row.lost_holders);
   scheduler_.OnRenewed(renewed_);
   scheduler_.SetConfiguration(config_);
   fleet_.BeginTerm(earlier.vm_orders_from, lease_taken_);
--- a/src/node/lease.cc
+++ b/src/node/lease.cc
@@ -22,7 +22,8 @@
                    {"released", row.released},
                    {"machine_order_age", row.vm_order_age.count},
                    {"earlier_orders_end", row.earlier_orders_end_ms},
-                   {"machine_orders_from", row.vm_orders_from_ms}});
+                   {"machine_orders_from", row.vm_orders_from_ms},
+                   {"lost_holders", row.lost_holders}});
 }
 
 std::optional<LeaseRow> DecodeLease(std::string_view text) {
@@ -55,6 +56,7 @@
   row.vm_order_age = {integer("machine_order_age")};
   row.earlier_orders_end_ms = integer("earlier_orders_end");
   row.vm_orders_from_ms = integer("machine_orders_from");
+  row.lost_holders = static_cast<int>(integer("lost_holders"));
   return row;
 }
 
--- a/src/node/lease.h
+++ b/src/node/lease.h
@@ -77,6 +77,8 @@
   /// (`EarlierHolders`), by the store's clock in ms; 0: not known.
   std::int64_t earlier_orders_end_ms = 0;
   std::int64_t vm_orders_from_ms = 0;
+  /// Holders so far that didn't release the lease.
+  int lost_holders = 0;
 };
 
 std::string EncodeLease(const LeaseRow& row);
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -36,11 +36,11 @@
   return limits;
 }
 
-/// Workers accept a limited number of connections (64 at the users'), and those
-/// of a leader whose VM lost power stay open there: several leaders must fit.
-/// One waits for ends of runs, the others carry orders.
-constexpr std::size_t kConnectionsPerWorker = 4;
+/// Connections that stay open at a worker when this VM loses power should be
+/// few
+/// (`jobs::MaxConnections`).
 constexpr Millis kWorkerIdleTime = base::Seconds(2);
+constexpr std::size_t kIdlePerWorker = 8;
 /// Idle connections to the store, the VM and the advice services.
 constexpr std::size_t kIdleServiceConnections = 64;
 
@@ -48,8 +48,8 @@
 // in progress.
 kernel::HttpClientLimits WorkerClientLimits(const NodeSettings& settings) {
   kernel::HttpClientLimits limits;
-  limits.open_per_address = kConnectionsPerWorker;
   limits.idle_time = kWorkerIdleTime;
+  limits.idle_per_address = kIdlePerWorker;
   limits.idle =
       static_cast<std::size_t>(settings.max_descriptors - kMaxConnections) / 2 -
       kIdleServiceConnections;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -259,14 +259,15 @@
   constexpr std::size_t kLimit = 3;
   WorkerPool pool(1);
   CountingServer server(pool);
-  HttpClient client(pool, {.open_per_address = kLimit});
+  HttpClient client(pool);
   const std::jthread thread([&pool] { pool.Run(); });
   std::vector<std::future<tl::expected<HttpResponse, HttpError>>> calls;
   for (int i = 0; i < kCalls; ++i) {
-    calls.push_back(asio::co_spawn(
-        pool.context(),
-        client.Call(server.Address(), HttpRequest{}, base::Seconds(10)),
-        asio::use_future));
+    calls.push_back(
+        asio::co_spawn(pool.context(),
+                       client.Call(server.Address(), HttpRequest{},
+                                   base::Seconds(10), {}, {0}, kLimit),
+                       asio::use_future));
   }
   for (auto& it : calls) EXPECT_TRUE(it.get());
   EXPECT_EQ(server.most(), kLimit);
@@ -277,19 +278,20 @@
 TEST(HttpClientTest, CallThatGetsNoConnectionInTimeIsNotSent) {
   WorkerPool pool(1);
   CountingServer server(pool);
-  HttpClient client(pool, {.open_per_address = 1});
+  HttpClient client(pool);
   const std::jthread thread([&pool] { pool.Run(); });
   auto first = asio::co_spawn(
-      pool.context(), client.Call(server.Address(), {}, base::Seconds(10)),
+      pool.context(),
+      client.Call(server.Address(), {}, base::Seconds(10), {}, {0}, 1),
       asio::use_future);
   const auto second = tests::RunBlocking(
-      pool, client.Call(server.Address(), {}, base::Millis{1}));
+      pool, client.Call(server.Address(), {}, base::Millis{1}, {}, {0}, 1));
   ASSERT_FALSE(second);
   EXPECT_EQ(second.error().failure, HttpFailure::kNoConnection);
   EXPECT_TRUE(first.get());
   // Its place isn't lost.
   EXPECT_TRUE(tests::RunBlocking(
-      pool, client.Call(server.Address(), {}, base::Seconds(10))));
+      pool, client.Call(server.Address(), {}, base::Seconds(10), {}, {0}, 1)));
   pool.Stop();
 }
 
