What a leader keeps of tickets and avoided workers is bounded

Found while looking for what clients' jobs size in memory: the tickets of each step with advice stayed until the end of the term, an entry for each worker of its pool, and a lasting task kept the id of each worker that it had failed on. Tickets go once their step is done, and sixteen workers are kept.

TicketsOfEndedJobsAreDropped is new.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -42,6 +42,13 @@
 // to another incarnation.
 constexpr Millis kMaxReordering{1000};
 
+// A lasting task may fail on any number of workers.
+void Avoid(Task& task, const std::string& worker) {
+  constexpr std::size_t kMaxAvoided = 16;
+  task.avoid.push_back(worker);
+  if (task.avoid.size() > kMaxAvoided) task.avoid.erase(task.avoid.begin());
+}
+
 // A worker has confirmed that a task of the job started.
 void MarkStarted(Job& job) {
   if (job.state == JobState::kPending) job.state = JobState::kRunning;
@@ -368,7 +375,7 @@
   auto& failed = task.failed_runs;
   if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
   CountFailure(worker, job, now);
-  task.avoid.push_back(worker.entry.id);
+  Avoid(task, worker.entry.id);
   if (step.long_running || HasEnded(job.state)) return;
   failed.push_back(end.run);
   ++job.failed_runs;
@@ -436,7 +443,7 @@
   if (now - run.progress_at < limit) return;
   run.stop_wanted = worker.stops_wanted = true;
   run.progress_at = now;
-  TaskOf(*run.job, run.task).avoid.push_back(worker.entry.id);
+  Avoid(TaskOf(*run.job, run.task), worker.entry.id);
   CountFailure(worker, *run.job, now);
   LogLine(LogLevel::kInfo, "run_stands_still")
       .With("task", run.task.ToText())
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -243,8 +243,8 @@
   UpdateHeldBytes(job);
 }
 
-// Removes jobs that ended more than the retention time ago and workers that are
-// gone.
+// Removes jobs that ended more than the retention time ago, tickets of steps
+// that are done, and workers that are gone.
 void Scheduler::Expire(Millis now) {
   if (now - last_expiry_ < kExpiryInterval) return;
   last_expiry_ = now;
@@ -261,6 +261,11 @@
     held_bytes_ -= job.held_bytes;
     it = jobs_.erase(it);
   }
+  std::erase_if(tickets_, [this](const auto& it) {
+    const auto id = TaskId::Parse(it.first + ".0");
+    const auto job = id ? jobs_.find(id->job) : jobs_.end();
+    return job == jobs_.end() || !HasTask(*job->second, *id);
+  });
   for (auto it = workers_.begin(); it != workers_.end();) {
     Worker& worker = it->second;
     // Its VM may show later that it crashed.
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -359,6 +359,10 @@
   void Evacuate(Worker& worker);
   [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
   [[nodiscard]] std::size_t run_count() const { return run_count_; }
+  /// Steps with tickets, or with requests for them.
+  [[nodiscard]] std::size_t ticket_step_count() const {
+    return tickets_.size();
+  }
 
  private:
   struct Ticket {
--- a/tests/jobs_handover_test.cc
+++ b/tests/jobs_handover_test.cc
@@ -32,8 +32,7 @@
 
   Orders PlanWithoutRenewal() {
     now_ += Millis{10};
-    Orders orders =
-        scheduler_.Plan(now_, kWall + Millis{now_.count}, true);
+    Orders orders = scheduler_.Plan(now_, kWall + Millis{now_.count}, true);
     // Rows are not what it waits for.
     Commit();
     return orders;
--- a/tests/jobs_scheduler_test.cc
+++ b/tests/jobs_scheduler_test.cc
@@ -355,6 +355,21 @@
   EXPECT_LE(paced.paces[0].percent, 50);
 }
 
+// Each job once left the tickets of all workers behind in the leader's memory.
+TEST_F(SchedulerTest, TicketsOfEndedJobsAreDropped) {
+  config_.queues[0].needs_tickets = true;
+  scheduler_.SetConfiguration(config_);
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 1000)));
+  Submit("b", OneStep(Step(1, 1000)));
+  Plan();
+  EXPECT_EQ(scheduler_.ticket_step_count(), 2U);
+  scheduler_.Cancel("a", now_);
+  Commit();
+  Plan({2000});
+  EXPECT_EQ(scheduler_.ticket_step_count(), 1U);
+}
+
 TEST_F(SchedulerTest, TicketsAreRequestedBeforeAStart) {
   config_.queues[0].needs_tickets = true;
   scheduler_.SetConfiguration(config_);
