--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -12,8 +12,10 @@
 class Link:
     """One listening port in front of one target; its faults are set while it runs."""
 
-    def __init__(self, links, target_port):
+    def __init__(self, links, target_port, most=None):
         self.links = links
+        self.most = most  # Connections that the target accepts; more are reset.
+        self.open = 0
         self.target_port = target_port
         self.port = 0
         self.delay_s = 0.0
@@ -36,11 +38,15 @@
 
     def _reset(self):
         for writer in list(self.writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                # Lingering for 0 s makes the close a reset.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            self._abort(writer)
+
+    @staticmethod
+    def _abort(writer):
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            # Lingering for 0 s makes the close a reset.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
 
     def silence(self):
         """Open connections pass nothing any more, for good; new ones work."""
@@ -53,11 +59,15 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        self.open += 1
         other = None
         try:
             if self.refusing:
                 self._reset()
                 return
+            if self.most and self.open > self.most:
+                self._abort(writer)
+                return
             far_reader, other = await asyncio.open_connection("127.0.0.1", self.target_port)
             self.writers.add(other)
             done, pending = await asyncio.wait(
@@ -74,6 +84,7 @@
         except OSError:
             pass  # The target is gone: the caller sees its connection end.
         finally:
+            self.open -= 1
             for each in (writer, other):
                 if each is not None:
                     self.writers.discard(each)
@@ -100,8 +111,8 @@
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
 
-    def add(self, target_port):
-        link = Link(self, target_port)
+    def add(self, target_port, most=None):
+        link = Link(self, target_port, most)
 
         async def listen():
             server = await asyncio.start_server(link._serve, "127.0.0.1", 0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -143,7 +143,7 @@
             server = platform.serve(
                 lambda method, path, query, body, headers, it=machine: it.serve(
                     None, method, path, query, body, headers.get("Hemlockward-Expect-Instance")))
-            machine.link = self.links.add(server.server_address[1])
+            machine.link = self.links.add(server.server_address[1], platform.CONNECTIONS)
             machine.port = machine.link.port
             self.world.machines[machine.name] = machine
             machine.bring_up()
--- a/tests/soak/users_store.py
+++ b/tests/soak/users_store.py
@@ -8,6 +8,9 @@
 
 HISTORY_ROWS = 4000
 PAGE_ROWS = 500
+CALL_ENTRIES = 100
+CALL_BYTES = 1_000_000
+ROW_BYTES = 65536
 LEASE = ("lead", "main", "lease")  # The row that names the leader.
 USUAL_DELAY_S = 0.003
 
@@ -93,14 +96,18 @@
             if not holds:
                 return 412, self._answer(current)
             writes, removed = [], []
+            if sum(len(it["value"]) + len(it["key"]) for it in body.get("writes", [])) > CALL_BYTES:
+                return 400, {}
             for it in body.get("writes", []):
                 value = base64.b64decode(it["value"]).decode()
+                if len(value) > ROW_BYTES:
+                    return 400, {}
                 writes.append((it["table"], it.get("part", ""), it["key"], value))
             for it in body.get("remove", []):
                 removed.append((it["table"], it.get("part", ""), it["key"]))
             if any(it[0] in ("op", "servers") for it in writes + removed):
                 return 403, {}
-            if len(writes) + len(removed) + len(body.get("expected_rev", [])) > 100:
+            if len(writes) + len(removed) + len(body.get("expected_rev", [])) > CALL_ENTRIES:
                 return 400, {}
             self.version += 1
             self._apply(writes, removed)
