Failed runs of tasks that are done don't count against their job

A job is given up with more failed runs than its rows can hold. The count went on with each failed run, also of tasks that were done since: a job that repeats for years would have been failed in the end.

Evidence: FailedRunsOfDoneTasksDoNotCount (3 left before, 0 now).

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -81,7 +81,7 @@
   /// them are in the store.
   int crash_changes = 0;
   int committed_crash_changes = 0;
-  /// Failed runs of all tasks: they are stored until their task is done.
+  /// Failed runs of the tasks that aren't done: these are stored.
   int failed_runs = 0;
   /// Rows in the store that hold the job and its progress.
   std::size_t job_rows = 0;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -1,6 +1,7 @@
 // Processing of workers' answers and reports: the scheduler's record of runs.
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "jobs/scheduler.h"
@@ -378,7 +379,7 @@
   Avoid(task, worker.entry.id);
   if (step.long_running || HasEnded(job.state)) return;
   failed.push_back(end.run);
-  ++job.failed_runs;
+  if (!task.done) ++job.failed_runs;
   unsaved_jobs_.insert(&job);
   const int attempts = QueueOf(job).attempts;
   const bool too_many = job.failed_runs > kMaxFailedRuns;
@@ -396,12 +397,15 @@
   Step& step = occurrence.steps[id.step];
   const StepSpec& spec = job.spec.steps[id.step];
   const int before = step.done;
-  if (spec.gang) {
-    for (Task& it : step.tasks) it.done = true;
-    step.done = spec.task_count;
-  } else if (!step.tasks[id.index].done) {
-    step.tasks[id.index].done = true;
+  const auto mark = [&job, &step](Task& task) {
+    if (std::exchange(task.done, true)) return;
+    job.failed_runs -= static_cast<int>(task.failed_runs.size());
     ++step.done;
+  };
+  if (spec.gang) {
+    for (Task& it : step.tasks) mark(it);
+  } else {
+    mark(step.tasks[id.index]);
   }
   if (step.done == before) return;
   UpdateRemaining(job);
--- a/tests/jobs_occurrences_test.cc
+++ b/tests/jobs_occurrences_test.cc
@@ -99,6 +99,27 @@
   EXPECT_EQ(scheduler_.FindJob("a")->state, JobState::kCompleted);
 }
 
+// A job is given up with too many failed runs to be stored: those of tasks that
+// are done aren't.
+TEST_F(OccurrencesTest, FailedRunsOfDoneTasksDoNotCount) {
+  Submit("a", Repeating(3, Millis{1}, {0}));
+  Plan();
+  Commit();
+  const Orders failing = Plan();
+  ASSERT_EQ(failing.starts.size(), 3U);
+  Started(failing);
+  now_ += Millis{10};
+  std::vector<EndedRun> ended;
+  for (const StartOrder& it : failing.starts) {
+    ended.push_back({++last_end_, it.task, it.run, EndKind::kFailed, ""});
+  }
+  Report("w", {}, ended);
+  EXPECT_EQ(scheduler_.FindJob("a")->failed_runs, 3);
+  EndAll(Plan());
+  EXPECT_EQ(scheduler_.FindJob("a")->state, JobState::kCompleted);
+  EXPECT_EQ(scheduler_.FindJob("a")->failed_runs, 0);
+}
+
 // A leader that isn't known to have opened an occurrence may not start it.
 TEST_F(OccurrencesTest, NothingStartsBeforeTheStoreKnowsOfIt) {
   Submit("a", Repeating(3, Millis{1000}, {0}));
