--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -257,7 +257,9 @@
   json::array failed;
   json::array lost;
   json::array unanswered;
-  for (const auto& [k, occurrence] : job.occurrences) {
+  for (const auto& it : job.occurrences) {
+    const int k = it.first;
+    const Occurrence& occurrence = it.second;
     const bool is_open = job.spec.occurrences == 0 || !occurrence.IsDone();
     for (std::size_t s = 0; is_open && s < occurrence.steps.size(); ++s) {
       const Step& step = occurrence.steps[s];
