Entries' limit of an answer is no idle time

The limits of the HTTP client had got a field before the last one, so the entry's positional initializer gave its longest answer as idle time. Lint of the three files that name the limits is clean; http_test passes.

--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -118,10 +118,10 @@
 struct HttpClientLimits {
   std::size_t idle_per_address = 64;  ///< Connections; at least 1.
   std::size_t idle = 1024;            ///< Connections to all addresses.
+  std::uint64_t body_bytes = 64 * 1024 * 1024;  ///< Longest response.
   /// An idle connection is closed after this time. Shorter than the server's
   /// idle timeout, so that this side closes first.
   base::Millis idle_time = base::Seconds(20);
-  std::uint64_t body_bytes = 64 * 1024 * 1024;  ///< Longest response.
 };
 
 /// HTTP client with a pool of keep-alive connections per address.
