--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -137,7 +137,7 @@
 }
 
 int MaxConnections(int lost) {
-  // Halved with each lost leader: all of them together stay below 64.
+  // Halved with each lost leader: six of them together stay below 64.
   constexpr int kFirst = 32;
   constexpr int kLeast = 2;  // One waits for ends of runs.
   constexpr int kMostHalvings = 4;
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -36,8 +36,7 @@
   return limits;
 }
 
-/// Connections that stay open at a worker when this VM loses power should be
-/// few
+/// Few connections should stay open at a worker when this VM loses power
 /// (`jobs::MaxConnections`).
 constexpr Millis kWorkerIdleTime = base::Seconds(2);
 constexpr std::size_t kIdlePerWorker = 8;
