The services that may run a job's tasks are stored with it

A route had led to another service and back; the leader was lost and a worker of the other service cut off, and the next leader started at once what was at work there.

Cause: IsAdoptionPending waited for workers of the service at acceptance and of the route's present one. Nothing told a new leader where the route had led in between.

Why it works: tasks start on a service only once the store names it with the job, so the next leader knows whose reports or leases to wait for. Rows of an earlier version don't name services: then every worker counts.

--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -52,6 +52,21 @@
              static_cast<std::size_t>(TaskCount(job.spec)) * kBytesOfTask;
 }
 
+bool AddService(Job& job, std::string_view service) {
+  const auto& known = job.services;
+  if (std::find(known.begin(), known.end(), service) != known.end()) {
+    return false;
+  }
+  job.services.emplace_back(service);
+  return true;
+}
+
+bool MayRunOn(const Job& job, std::string_view service) {
+  return job.services_unknown ||
+         std::find(job.services.begin(), job.services.end(), service) !=
+             job.services.end();
+}
+
 bool HasTask(const Job& job, const TaskId& id) {
   return job.occurrences.contains(id.occurrence) &&
          id.step < static_cast<int>(job.spec.steps.size()) &&
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -83,6 +83,14 @@
   int committed_crash_changes = 0;
   /// Failed runs of the tasks that aren't done: these are stored.
   int failed_runs = 0;
+  /// Services whose workers may run its tasks: that of its queue at acceptance,
+  /// then those that the queue's route led to when tasks were to start.
+  std::vector<std::string> services;
+  /// Number of these in the store. Tasks start on no other, so that another
+  /// leader knows where runs may be in progress.
+  std::size_t committed_services = 0;
+  /// Stored by an earlier version, which doesn't name them.
+  bool services_unknown = false;
   /// Rows in the store that hold the job and its progress.
   std::size_t job_rows = 0;
   std::size_t progress_rows = 0;
@@ -120,6 +128,12 @@
 /// Approximate memory of a job.
 std::size_t HeldBytes(const Job& job);
 
+/// Adds a service whose workers may run the tasks. Returns false if it is
+/// known.
+bool AddService(Job& job, std::string_view service);
+/// Whether a worker of the service may run tasks of the job.
+bool MayRunOn(const Job& job, std::string_view service);
+
 /// Whether the task belongs to an open occurrence of the job.
 bool HasTask(const Job& job, const TaskId& id);
 /// The task, which must exist.
--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -131,20 +131,23 @@
 }
 
 bool Scheduler::IsAdoptionPending(const Job& job, Millis now) {
-  const std::string& pool = QueueOf(job).service;
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& it) {
     const Worker& worker = it.second;
     const bool known = worker.adopted && worker.earlier_runs_known;
     if (!worker.from_earlier_term || known) return false;
-    if (worker.entry.service != job.accepted_queue.service &&
-        worker.entry.service != pool) {
-      return false;
-    }
+    if (!MayRunOn(job, worker.entry.service)) return false;
     return !IsRenewedSince(
         worker.ended ? worker.ended_at : worker.lease_expires_by, now);
   });
 }
 
+bool Scheduler::IsServiceStored(Job& job, const std::string& service) {
+  if (AddService(job, service)) unsaved_jobs_.insert(&job);
+  const auto stored = job.services.begin() +
+                      static_cast<std::ptrdiff_t>(job.committed_services);
+  return std::find(job.services.begin(), stored, service) != stored;
+}
+
 bool Scheduler::IsStepReady(const Job& job, int occurrence, int step,
                             WallMillis wall) const {
   if (!AreStepsBeforeDone(job.spec, job.occurrences.at(occurrence), step)) {
@@ -349,6 +352,7 @@
     before.emplace_back(it.last_run, it.idle_since);
     if (!it.checkpoint.empty()) checkpoint = it.checkpoint;
   }
+  if (!IsServiceStored(job, queue.service)) return false;
   for (Task& it : state.tasks) it.checkpoint = checkpoint;
   const std::size_t first = orders.starts.size();
   bool complete = true;
@@ -395,6 +399,7 @@
   bool all = true;
   const bool earlier_runs_settled =
       !job.earlier_term || !IsAdoptionPending(job, now);
+  if (earlier_runs_settled) job.services_unknown = false;
   for (auto& [k, occurrence] : job.occurrences) {
     if (k >= job.committed_next_occurrence) break;
     auto& steps = occurrence.steps;
@@ -417,6 +422,7 @@
         Task& task = step.tasks[i];
         const bool plain = task.avoid.empty() && task.crashes.empty();
         if (task.done || (full && plain) || !MayStart(job, task, now)) continue;
+        if (!IsServiceStored(job, queue.service)) return false;
         const TaskId id{job.id, k, s, i};
         if (StartTask(job, queue, id, NextRun(task), pool, orders, now)) {
           continue;
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -200,6 +200,15 @@
   return read;
 }
 
+bool ApplyServices(const json::object& row, Job& job) {
+  job.services_unknown = job.services_unknown || !row.contains("services");
+  return ApplyEach(row, "services", [&job](const json::value& value) {
+    if (!value.is_string()) return false;
+    AddService(job, value.get_string());
+    return true;
+  });
+}
+
 int CountFailedRuns(const Job& job) {
   std::size_t n = 0;
   for (const auto& [number, occurrence] : job.occurrences) {
@@ -222,7 +231,8 @@
                                       {"stretch", queue.stretch},
                                       {"target", queue.target.count},
                                       {"tickets", queue.needs_tickets},
-                                      {"accepted", job.accepted_wall.count}}) +
+                                      {"accepted", job.accepted_wall.count},
+                                      {"services_stored", true}}) +
          "\n" + job.source;
 }
 
@@ -243,6 +253,7 @@
   const json::value* tickets = head->if_contains("tickets");
   row.queue.needs_tickets = tickets && tickets->is_bool() && tickets->as_bool();
   row.accepted = {IntegerOrZero(*head, "accepted")};
+  row.services_stored = head->contains("services_stored");
   row.source = text.substr(line + 1);
   return row;
 }
@@ -294,6 +305,9 @@
     row["open"] = EncodeOpen(job);
   }
   row["done"] = std::move(done);
+  if (!job.services_unknown) {
+    row["services"] = json::array(job.services.begin(), job.services.end());
+  }
   if (!failed.empty()) row["failed"] = std::move(failed);
   if (!lost.empty()) row["lost"] = std::move(lost);
   if (!unanswered.empty()) row["unanswered"] = std::move(unanswered);
@@ -329,7 +343,7 @@
                     ApplyEach(*row, "lost", lost) &&
                     ApplyEach(*row, "unanswered", unanswered);
   job.failed_runs = CountFailedRuns(job);
-  return read;
+  return read && ApplyServices(*row, job);
 }
 
 std::string EncodeWorkerRow(const Worker& worker) {
--- a/src/jobs/rows.h
+++ b/src/jobs/rows.h
@@ -29,6 +29,7 @@
   Queue queue;
   WallMillis accepted{};
   std::string source;
+  bool services_stored = false;  ///< The rows name the job's services.
 };
 
 std::string EncodeJobRow(const Job& job);
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -316,6 +316,9 @@
       return;
     }
     AddRun(worker, *job, active.task, active.run, RunPhase::kRunning, now);
+    if (AddService(*job, worker.entry.service) && !HasEnded(job->state)) {
+      unsaved_jobs_.insert(job);
+    }
     it = worker.runs.find(active.task);
     const Task& task = TaskOf(*job, active.task);
     if (HasEnded(job->state) || task.done || task.active_runs > 1) {
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -98,6 +98,7 @@
   if (held_bytes_ > settings_.max_held_bytes) return Submission::kRefused;
   Job& job = AddJob(std::move(id), queue.name, std::move(spec), now);
   job.accepted_queue = queue;
+  AddService(job, queue.service);
   job.source = std::move(source);
   job.accepted_wall = wall;
   SetObjective(job, queue);
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -233,6 +233,7 @@
   JobState state = JobState::kPending;
   int crash_changes = 0;
   int next_occurrence = 0;
+  std::size_t services = 0;
   std::size_t job_rows = 0;
   std::size_t progress_rows = 0;
 };
@@ -485,7 +486,12 @@
                                        const std::string& worker) const;
   /// Whether the worker's capacity is known well enough to start tasks there.
   [[nodiscard]] bool IsCapacityKnown(const Worker& worker, Millis now) const;
+  /// Whether an earlier leader's runs of the job may be in progress on a worker
+  /// that hasn't told this leader what it runs.
   bool IsAdoptionPending(const Job& job, Millis now);
+  /// Whether the store names the service as one whose workers may run the job's
+  /// tasks. If not, it will with the next commit.
+  bool IsServiceStored(Job& job, const std::string& service);
   const std::string* TicketFor(const std::string& step_name,
                                const Worker& worker, Orders& orders,
                                std::vector<Worker*>& pool, Millis now);
--- a/src/jobs/scheduler_rows.cc
+++ b/src/jobs/scheduler_rows.cc
@@ -74,6 +74,7 @@
                                   std::vector<RowWrite>& rows) const {
   CommittedJob committed{job.id, job.state, job.crash_changes};
   committed.next_occurrence = job.next_occurrence;
+  committed.services = job.services.size();
   committed.job_rows = job.job_rows;
   const bool over = HasEnded(job.state);
   const auto write = [&](const char* table, std::string text) {
@@ -185,6 +186,7 @@
     job.committed_state = committed.state;
     job.committed_crash_changes = committed.crash_changes;
     job.committed_next_occurrence = committed.next_occurrence;
+    job.committed_services = committed.services;
     job.job_rows = committed.job_rows;
     job.progress_rows = committed.progress_rows;
   }
@@ -264,6 +266,9 @@
       AddJob(std::move(joined.key), row->queue.name, *std::move(spec), now);
   job.job_rows = joined.rows;
   job.accepted_queue = std::move(row->queue);
+  AddService(job, job.accepted_queue.service);
+  job.services_unknown = !row->services_stored;
+  job.committed_services = 1;
   job.source = std::move(row->source);
   job.accepted_wall = row->accepted;
   job.accepted = now - (wall - row->accepted);
@@ -303,6 +308,7 @@
         UnexplainedLoss{id, lost.run, task.crashes.RanAlone(lost.run), now});
   }
   job.committed_next_occurrence = job.next_occurrence;
+  job.committed_services = job.services.size();
   UpdateRemaining(job);
   UpdateHeldBytes(job);
   job.committed_state = job.state;
