An ended worker that a later listing has on its VM is used again

The leader had been lost with the answers to its upkeep orders; the next one ordered them again.

Cause: the platform confirms an order also if it was executed before. OnAnswer ended the worker that the VM had when the order was made, which had come after the upkeep. It stayed ended for good.

The new test of FleetTest failed with the change taken out.

Why it works: a listing requested after the answer shows which worker the VM has. If it is up with the ended one, the order hadn't ended it.

--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -286,9 +286,10 @@
   }
   /// Ends a worker whose VM runs another one or none: nothing runs on it.
   void EndWorker(std::string_view id, WorkerLoss loss, Millis now);
-  /// Ends unresponsive workers whose VM has a different worker or none in a
-  /// complete listing that was requested at `sent`.
-  void EndReplacedWorkers(std::span<const Vm> vms, Millis sent, Millis now);
+  /// Processes a complete listing that was requested at `sent`. Ends
+  /// unresponsive workers whose VM has a different worker or none, and takes
+  /// back ended ones that are listed.
+  void OnVmsListed(std::span<const Vm> vms, Millis sent, Millis now);
 
   Submission Submit(const Queue& queue, std::string id, JobSpec spec,
                     std::string source, Millis now, WallMillis wall);
@@ -481,6 +482,8 @@
   /// was ordered away.
   void EndReplacedWorker(Worker& worker, std::string_view by, bool ordered,
                          Millis now);
+  /// The worker that had ended before a listing was requested is in it.
+  static void TakeBack(Worker& worker);
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
                                        const std::string& worker) const;
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -117,10 +117,23 @@
   return it != config_.services.end() && it->second.headroom;
 }
 
-void Scheduler::EndReplacedWorkers(std::span<const Vm> vms, Millis sent,
-                                   Millis now) {
+void Scheduler::TakeBack(Worker& worker) {
+  LogLine(LogLevel::kInfo, "worker_taken_back")
+      .With("worker", worker.entry.id)
+      .With("machine", worker.entry.vm);
+  worker.ended = worker.reserved = worker.adopted = false;
+}
+
+void Scheduler::OnVmsListed(std::span<const Vm> vms, Millis sent, Millis now) {
   std::map<std::string_view, const Vm*> by_name;
-  for (const Vm& it : vms) by_name[it.name] = &it;
+  for (const Vm& it : vms) {
+    by_name[it.name] = &it;
+    // An order is also confirmed if it was executed before: the worker that the
+    // VM has now came after it.
+    Worker* worker = FindWorker(it.worker);
+    const bool up = worker && it.state == VmState::kUp;
+    if (up && worker->ended && worker->ended_at < sent) TakeBack(*worker);
+  }
   for (auto& [id, worker] : workers_) {
     const bool answers = worker.adopted && !worker.unresponsive;
     if (answers || worker.ended || worker.known_since >= sent) continue;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -445,7 +445,7 @@
             .With("error", vms.error().what);
       } else {
         fleet_.OnVms(*vms, sent);
-        scheduler_.EndReplacedWorkers(*vms, sent, clock_.Now());
+        scheduler_.OnVmsListed(*vms, sent, clock_.Now());
         RequestPlan();
       }
     }
--- a/tests/jobs_crashes_fixture.h
+++ b/tests/jobs_crashes_fixture.h
@@ -168,7 +168,7 @@
     std::vector<Vm> list;
     for (const auto& [name, vm] : vms) list.push_back(vm);
     now_ += Millis{10};
-    scheduler_.EndReplacedWorkers(list, now_, now_);
+    scheduler_.OnVmsListed(list, now_, now_);
     Store();
   }
 
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -266,7 +266,7 @@
   const std::vector<Vm> vms = {
       {worker.entry.vm, "other", VmState::kMoving, "", {}}};
   now_ += Millis{10};
-  scheduler_.EndReplacedWorkers(vms, now_, now_);
+  scheduler_.OnVmsListed(vms, now_, now_);
   EXPECT_TRUE(worker.ended);
   EXPECT_TRUE(FirstTask("a").crashes.empty());
 }
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -369,6 +369,37 @@
   EXPECT_TRUE(scheduler_.Plan(now_, kWall, true).starts.empty());
 }
 
+// An upkeep whose answer was lost with the leader is ordered again and
+// confirmed as done already. The worker that came after it was taken for ended
+// (review/8: LOST).
+TEST_F(FleetTest, WorkerThatCameAfterAnUpkeepIsUsedThoughItIsOrderedAgain) {
+  AddVm("m1", "busy");
+  List();
+  waves_[1] = {1, {"m1"}, Millis{20'000}, 1};
+  const auto orders = Plan({1000});
+  ASSERT_EQ(orders.size(), 1U);
+  Answer(orders, VmAnswer::kDone);
+  Submit("busy", 1);
+  const auto starts = [this] {
+    WorkerReport report;
+    report.clock_ms = now_.count;
+    report.started_at_ms = 1;
+    scheduler_.OnReport("w-m1", report, now_, now_);
+    Commit();
+    return scheduler_.Plan(now_, kWall, true).starts.size();
+  };
+  // A listing from before the answer proves nothing.
+  scheduler_.OnVmsListed(vms_, now_, now_);
+  EXPECT_EQ(starts(), 0U);
+  now_ += Millis{500};
+  vms_[0].state = VmState::kUpkeep;
+  scheduler_.OnVmsListed(vms_, now_, now_);
+  EXPECT_EQ(starts(), 0U);
+  vms_[0].state = VmState::kUp;
+  scheduler_.OnVmsListed(vms_, now_, now_);
+  EXPECT_EQ(starts(), 1U);
+}
+
 TEST_F(FleetTest, VmsTakenDownByAnEarlierLeaderCountTowardsTheCap) {
   for (const char* it : {"m1", "m2", "m3"}) AddVm(it, "off");
   vms_[0].state = VmState::kUpkeep;
--- a/tests/jobs_handover_test.cc
+++ b/tests/jobs_handover_test.cc
@@ -74,7 +74,7 @@
   vm.pool = "other";
   vm.state = VmState::kMoving;
   now_ += Millis{10};
-  scheduler_.EndReplacedWorkers(std::vector{vm}, now_, now_);
+  scheduler_.OnVmsListed(std::vector{vm}, now_, now_);
   ExpectStartAfterRenewal();
 }
 
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -241,7 +241,7 @@
   }
 
   bool StartsAfter(const Vm& vm, Millis sent) {
-    scheduler_.EndReplacedWorkers(std::vector{vm}, sent, now_);
+    scheduler_.OnVmsListed(std::vector{vm}, sent, now_);
     return !Plan().starts.empty();
   }
 
