One call for advice at a time, and a failed one refuses nobody

Cause: the leader asked for the tickets of all steps at once; the service handles one call after another. Tickets had expired by the leader's count when they came, and the next request went to the end of the line. A repeated request that failed or timed out counted as a refusal of the workers that had been granted tickets before, for good.

Why it works: the call for the most urgent step goes out when the last one has ended, so its turn comes at once. Only an answer refuses workers. A ticket that has just come is tried, whatever its call took.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -28,6 +28,10 @@
 // A run starts on the worker that it was announced on when that is stored: a
 // healthy store takes 10 ms.
 constexpr Millis kAnnouncementTime{500};
+// A call for advice ends within this time, unless its coroutine has failed.
+constexpr Millis kAdviceGivenUp = base::Seconds(10);
+// How long a ticket is used at least, however long its call took.
+constexpr Millis kMinTicketUse{500};
 // Fractions of the tail latency target at which filling tasks are slowed down
 // or sped up.
 constexpr double kTailHigh = 0.85;
@@ -195,44 +199,40 @@
                                         const Worker& worker, Orders& orders,
                                         std::vector<Worker*>& pool,
                                         Millis now) {
-  auto& known = tickets_[step_name];
-  Ticket& ticket = known[worker.entry.id];
-  if (ticket.allowed && now < ticket.valid_until) return &ticket.text;
-  if (ticket.asked) return nullptr;
   constexpr std::size_t kMaxWorkersAsked = 100;
+  auto& known = tickets_[step_name];
+  const Ticket& ticket = known[worker.entry.id];
+  if (now < ticket.valid_until) return &ticket.text;
+  if (advice_requested_ && now - *advice_requested_ < kAdviceGivenUp) {
+    return nullptr;
+  }
   std::vector<std::string> ask;
   for (const Worker* it : pool) {
-    Ticket& other = known[it->entry.id];
-    const bool stale = other.allowed && now >= other.valid_until;
-    if (other.asked || (other.valid_until.count > 0 && !stale)) continue;
+    const Ticket& other = known[it->entry.id];
+    if (other.refused || now < other.valid_until) continue;
     if (ask.size() == kMaxWorkersAsked) break;
-    other.asked = true;
     ask.push_back(it->entry.id);
   }
-  if (!ask.empty()) orders.advice.emplace_back(step_name, std::move(ask));
+  if (ask.empty()) return nullptr;
+  advice_requested_ = now;
+  orders.advice.emplace_back(step_name, std::move(ask));
   return nullptr;
 }
 
 void Scheduler::OnAdvice(
     std::string_view step, std::span<const std::string> asked,
     std::span<const std::pair<std::string, std::string>> tickets, Millis valid,
-    Millis now) {
+    Millis sent, Millis now) {
+  advice_requested_.reset();
   const auto it = tickets_.find(step);
-  if (it == tickets_.end()) return;
-  const bool answered = valid.count > 0;
-  for (const std::string& id : asked) {
-    Ticket& ticket = it->second[id];
-    ticket.asked = false;
-    ticket.allowed = false;
-    // No ticket is requested again for a worker that got none: the set of
-    // eligible workers is fixed.
-    if (answered) ticket.valid_until = now + valid;
-  }
+  if (it == tickets_.end() || valid.count <= 0) return;
+  // The set of workers that may run a step doesn't change.
+  for (const std::string& id : asked) it->second[id].refused = true;
+  // When the service began to count isn't known. A worker refuses a ticket that
+  // has expired.
+  const Millis usable = std::min(valid, kMinTicketUse);
   for (const auto& [id, text] : tickets) {
-    Ticket& ticket = it->second[id];
-    ticket.text = text;
-    ticket.allowed = true;
-    ticket.valid_until = now + valid;
+    it->second[id] = {text, std::max(sent + valid, now + usable)};
   }
 }
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -46,6 +46,7 @@
   workers_.clear();
   unexplained_losses_.clear();
   tickets_.clear();
+  advice_requested_.reset();
   jobs_.clear();
   arrivals_.clear();
   run_count_ = held_bytes_ = 0;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -318,9 +318,11 @@
   /// Returns true when a report should be requested soon because the run may
   /// never have started.
   bool OnStop(const StopOrder& order, bool answered, Millis now);
+  /// The call for advice, sent at `sent`, has ended. `valid`: how long the
+  /// tickets are valid; 0: the call failed.
   void OnAdvice(std::string_view step, std::span<const std::string> asked,
                 std::span<const std::pair<std::string, std::string>> tickets,
-                Millis valid, Millis now);
+                Millis valid, Millis sent, Millis now);
   /// `sent` is the time at which the report was requested.
   void OnReport(std::string_view worker, const WorkerReport& report,
                 Millis sent, Millis now);
@@ -373,8 +375,7 @@
   struct Ticket {
     std::string text;
     Millis valid_until{0};
-    bool asked = false;
-    bool allowed = false;
+    bool refused = false;  ///< The worker may not run the step.
   };
   /// A run on a worker that was lost without a known cause.
   struct UnexplainedLoss {
@@ -495,6 +496,8 @@
   /// Whether the store names the service as one whose workers may run the job's
   /// tasks. If not, it will with the next commit.
   bool IsServiceStored(Job& job, const std::string& service);
+  /// Returns null if there is no valid ticket. Then advice on the pool's
+  /// workers is requested, unless a call for advice is in progress.
   const std::string* TicketFor(const std::string& step_name,
                                const Worker& worker, Orders& orders,
                                std::vector<Worker*>& pool, Millis now);
@@ -528,6 +531,10 @@
   /// By step name, then worker id.
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;
+  /// When the call for advice that is in progress was requested. The service
+  /// handles one call at a time, so the next one, for the step that is then the
+  /// most urgent, waits here and not there.
+  std::optional<Millis> advice_requested_;
   /// By queue name.
   std::map<std::string, ArrivalRate, std::less<>> arrivals_;
   std::optional<Millis> demand_since_;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -421,11 +421,12 @@
         .With("error", advice.error().what);
     co_await kernel::Sleep(kRetryPause);
     if (IsLeading(term)) {
-      scheduler_.OnAdvice(step, workers, {}, {0}, clock_.Now());
+      const Millis now = clock_.Now();
+      scheduler_.OnAdvice(step, workers, {}, {0}, now, now);
     }
   } else {
-    // The service counts the validity from the request, so `sent` is used.
-    scheduler_.OnAdvice(step, workers, advice->tickets, advice->valid, sent);
+    scheduler_.OnAdvice(step, workers, advice->tickets, advice->valid, sent,
+                        clock_.Now());
   }
   RequestPlan();
 }
