A lease may be the longest while a restart isn't known

Cause: orders carry a deadline by the clock that the leader knows. A worker that has restarted since takes them by a clock that started anew and grants the longest lease, 6.12 s, where the leader counted 4.2 to 4.4 s. The answer's clock was compared with the last reading, not with what the clock had to show by now, and only marked the worker as silent; a start without an answer wasn't considered at all; and a new leader counted the shorter lease for all workers it can't reach.

Evidence: in the users' record a run that came at 44.892 s lapses at 51.015 s, 6.12 s later: the longest lease of a clock that is 2% slow.

Why it works: an answer whose clock is behind what it had to show comes from another incarnation; then, for a start without an answer, and at a takeover the longest lease is counted. Leases of workers that answer are counted as before.

ClockRegressionIndicatesANewIncarnation passes the time when the order was sent: a tolerance of one second, whatever was sent when, hid clocks that were less far behind. The bound is stricter now.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -39,9 +39,8 @@
 // slowest rate is assumed for the time beyond it, so that no lease is longer
 // than `LongestLease`.
 constexpr Millis kTrustedReadingAge = base::Seconds(10);
-// Answers are reordered by less than this: a clock that is further back belongs
-// to another incarnation.
-constexpr Millis kMaxReordering{1000};
+// Readings of clocks and their estimates are rounded to milliseconds.
+constexpr std::int64_t kClockRoundingMs = 3;
 
 // A lasting task may fail on any number of workers.
 void Avoid(Task& task, const std::string& worker) {
@@ -193,6 +192,9 @@
   if (answer == StartAnswer::kUnknown) {
     run.phase = RunPhase::kUnsettled;
     run.stop_wanted = worker->stops_wanted = worker->unresponsive = true;
+    // It may be carried out by a worker that has restarted under its id.
+    worker->lease_expires_by =
+        std::max(worker->lease_expires_by, now + LongestGrant(settings_));
     return;
   }
   Job& job = *run.job;
@@ -213,11 +215,25 @@
   }
 }
 
-void Scheduler::OnClock(std::string_view id, std::int64_t clock_ms) {
+bool Scheduler::OnClock(std::string_view id, std::int64_t clock_ms, Millis sent,
+                        Millis now) {
   Worker* worker = FindWorker(id);
-  if (!worker || clock_ms == 0) return;
-  if (clock_ms < worker->clock_ms - kMaxReordering.count)
-    worker->unresponsive = true;
+  if (!worker || clock_ms == 0 || worker->clock_ms == 0) return false;
+  // The least that the clock can have shown when the order was sent.
+  const auto since = static_cast<double>((sent - worker->clock_at).count);
+  const double rate = since > 0 ? 1 - settings_.clock_drift : 1;
+  const std::int64_t least = worker->clock_ms +
+                             static_cast<std::int64_t>(since * rate) -
+                             kClockRoundingMs;
+  if (clock_ms >= least) return false;
+  LogLine(LogLevel::kInfo, "worker_clock_went_back")
+      .With("worker", id)
+      .With("clock_ms", clock_ms)
+      .With("expected_ms", least);
+  worker->unresponsive = true;
+  worker->lease_expires_by =
+      std::max(worker->lease_expires_by, now + LongestGrant(settings_));
+  return true;
 }
 
 bool Scheduler::OnStop(const StopOrder& order, bool answered, Millis now) {
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -311,10 +311,11 @@
     return Plan(now, wall, may_start ? SIZE_MAX : std::size_t{0});
   }
   void OnStart(const StartOrder& order, StartAnswer answer, Millis now);
-  /// Processes the worker's clock from the answer to an order. A clock that
-  /// went back indicates a new incarnation, which must report before it
-  /// receives orders.
-  void OnClock(std::string_view worker, std::int64_t clock_ms);
+  /// Processes the worker's clock from the answer to an order sent at `sent`.
+  /// Returns true if another incarnation has answered: a report should be
+  /// requested, as it receives no orders before.
+  bool OnClock(std::string_view worker, std::int64_t clock_ms, Millis sent,
+               Millis now);
   /// Returns true when a report should be requested soon because the run may
   /// never have started.
   bool OnStop(const StopOrder& order, bool answered, Millis now);
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -362,11 +362,12 @@
     co_return;
   }
   scheduler_.OnStart(order, answer, now);
-  scheduler_.OnClock(order.worker, reply.clock_ms);
-  if (answer == jobs::StartAnswer::kUnknown) {
+  const bool restarted =
+      scheduler_.OnClock(order.worker, reply.clock_ms, sent, now);
+  if (restarted || answer == jobs::StartAnswer::kUnknown) {
     co_await RenewWorker(term, order.worker, false);
   }
-  if (answer != jobs::StartAnswer::kStarted) RequestPlan();
+  if (restarted || answer != jobs::StartAnswer::kStarted) RequestPlan();
 }
 
 Awaitable<void> NodeProcess::ExecuteStop(std::uint64_t term,
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -41,8 +41,7 @@
 /// time, in which steady clocks drift apart by far less than a millisecond.
 constexpr Millis kStoreTimeMaxAge = base::Seconds(10);
 constexpr Millis kLongUptime = base::Seconds(20);
-/// Margin for a worker's clock, which may run 2% slow, and for orders in
-/// transit.
+/// Margin for orders in transit.
 constexpr Millis kLeaseSlack{400};
 
 }  // namespace
@@ -356,8 +355,11 @@
   lease_taken_ = clock_.Now();
   lease_.lease = own_lease_ = row;
   lease_.lease_version = version->version;
-  const Millis given = jobs::LongestLease({settings_.worker_lease});
-  const Millis lease = std::min(settings_.longest_lease, given) + kLeaseSlack;
+  // A worker that has restarted under its id may have taken its last orders by
+  // the clock of its former incarnation.
+  const Millis lease =
+      jobs::LongestGrant({settings_.worker_lease, settings_.longest_lease}) +
+      kLeaseSlack;
   scheduler_.BeginTerm(term,
                        std::max(earlier.orders_end, earlier.renewed) + lease,
                        row.lost_holders);
--- a/tests/jobs_restarts_test.cc
+++ b/tests/jobs_restarts_test.cc
@@ -59,5 +59,30 @@
             now_ + LongestLeaseTime() + margin);
 }
 
+// Its answer shows the restart before its registration is read (users' runs:
+// TWICE). The clock had last been read 20 s before.
+TEST_F(RestartTest, AnswerByAnotherClockIsOfANewIncarnation) {
+  AddWorker("w");
+  const Worker& worker = *scheduler_.FindWorker("w");
+  now_ += base::Seconds(20);
+  const std::int64_t own = worker.clock_ms + 19'600;  // It is 2% slow.
+  EXPECT_FALSE(scheduler_.OnClock("w", own, now_, now_));
+  EXPECT_FALSE(worker.unresponsive);
+  EXPECT_TRUE(scheduler_.OnClock("w", own - 100, now_, now_));
+  EXPECT_TRUE(worker.unresponsive);
+  EXPECT_GE(worker.lease_expires_by, now_ + LongestLeaseTime());
+}
+
+// It may have been carried out by a worker that has restarted.
+TEST_F(RestartTest, UnansweredStartMayHoldTheLongestLease) {
+  AddWorker("w");
+  Submit("a", OneStep(Step(1, 1000)));
+  const Orders orders = Plan();
+  ASSERT_EQ(orders.starts.size(), 1U);
+  scheduler_.OnStart(orders.starts[0], StartAnswer::kUnknown, now_);
+  EXPECT_GE(scheduler_.FindWorker("w")->lease_expires_by,
+            now_ + LongestLeaseTime());
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -374,9 +374,11 @@
   AddWorker("w");
   Worker& worker = scheduler_.workers().at("w");
   worker.clock_ms = 60'000;
-  scheduler_.OnClock("w", 59'500);
+  // The answer to an older order may arrive later.
+  EXPECT_FALSE(
+      scheduler_.OnClock("w", 59'500, worker.clock_at - Millis{500}, now_));
   EXPECT_FALSE(worker.unresponsive);
-  scheduler_.OnClock("w", 300);
+  EXPECT_TRUE(scheduler_.OnClock("w", 300, worker.clock_at, now_));
   EXPECT_TRUE(worker.unresponsive);
   Submit("a", OneStep(Step(1, 1000)));
   EXPECT_TRUE(Plan().starts.empty());
--- /dev/null
+++ b/tests/system/restarted_worker_test.py
@@ -0,0 +1,127 @@
+"""A worker that starts again under its id takes calls that were meant for its former life, and is cut off
+soon after. No task may run twice.
+
+Usage: restarted_worker_test.py registered|answered|unanswered|handover (with HEMLOCKWARD_BIN set)
+  registered: an idle worker restarts and registers, a task starts there
+  answered: its leader doesn't learn of the restart and starts a task there
+  unanswered: the same, and the worker is cut off before it answers
+  handover: the same as answered, and the leader hands over to another node
+"""
+
+import json
+import pathlib
+import signal
+import sys
+import threading
+import time
+
+sys.path.append(str(pathlib.Path(__file__).parent.parent / "soak"))
+import soak
+import users_platform as platform
+from deposed_leader_test import call, until
+
+# Lasting jobs keep two of three workers in their pool: the first leaves the task room on the third one only.
+LARGE, SMALL, JOB = "00000000000000aa", "00000000000000bb", "00000000000000cc"
+TASK = f"{JOB}.0.0.0"
+STEP = {"count": 1, "cpu": 9000, "mem_mb": 64, "est_runtime_ms": 30000}
+FORMER_CLOCK_MS = 100_000  # Far ahead of that of a new life.
+CLOCK_MS = 5_000
+KNOWN_S = 0.3  # Until the leader has heard of a restart.
+CUT_AFTER_S = 0.2
+SILENCE_S = 3.0
+
+
+def lasting(cpu):
+    return {"count": 2, "cpu": cpu, "mem_mb": 64, "est_runtime_ms": 300, "daemon": True, "anti_affinity": 1}
+
+
+def submit(play, job_id, step):
+    job = platform.Job([step], f"payload {job_id}", attempts=3, lasting=step.get("daemon", False))
+    play.world.jobs[job_id] = job
+    body = json.dumps({"task_spec": job.spec, "steps": job.steps})
+    return call(play.nodes[0], "POST", f"/q-a/{job_id}", body) == 200
+
+
+def is_at_work(machines, job_id, tasks):
+    return sum(f"{job_id}.0.0.{i}" in it.life.active for it in machines for i in range(tasks)) == tasks
+
+
+def restart(machine, registers):
+    """Its next life begins at once under the same id, with a clock of its own."""
+    with machine.world.lock:
+        machine.life.active.clear()
+        machine.bring_up(keep_id=True)
+        machine.life.clock_base = CLOCK_MS
+        if not registers:
+            machine.beat_at = float("inf")
+
+
+class Gate:
+    """In front of a machine: cuts its worker off."""
+
+    def __init__(self, machine, how):
+        self.machine = machine
+        self.how = how
+        self.serve = machine.serve
+        self.cut = False
+        machine.serve = self.pass_on
+
+    def pass_on(self, *request):
+        answer = None
+        if not self.cut:
+            answer = self.serve(*request)
+            self.cut = self.cut or (request[2] == "/v1/run-start" and self.how == "unanswered")
+        if answer is None or self.cut:
+            time.sleep(SILENCE_S)
+            return None
+        return answer
+
+
+def play_cut(play, gate, how):
+    machine = gate.machine
+    restart(machine, registers=how == "registered")
+    if how == "registered":
+        time.sleep(KNOWN_S)
+    until("the job is accepted", lambda: submit(play, JOB, STEP))
+    until("the task has begun", lambda: is_at_work([machine], JOB, 1))
+    time.sleep(CUT_AFTER_S)
+    gate.cut = True
+    assert call(play.nodes[0], "DELETE", f"/q-a/{LARGE}") == 200
+    if how == "handover":
+        leader = play.leader()
+        leader.expected_end = True
+        leader.send(signal.SIGTERM)
+
+
+def main(how):
+    play = soak.Soak(seed=1, seconds=0, nodes=3, machines=9)
+    play.world.unguarded.clear()
+    play.stopping = False
+    threading.Thread(target=play.tick, daemon=True).start()
+    pool = [it for it in play.world.machines.values() if it.pool == "pool-a"]
+    for machine in pool:
+        machine.life.clock_base = FORMER_CLOCK_MS
+    try:
+        for node in play.nodes:
+            node.start()
+        for job_id, cpu in ((LARGE, 9000), (SMALL, 1000)):
+            until("a lasting job is accepted", lambda: submit(play, job_id, lasting(cpu)))
+            until("it is at work", lambda: is_at_work(pool, job_id, 2))
+        idle = [it for it in pool if not it.life.active]
+        assert len(idle) == 1, [list(it.life.active) for it in pool]
+        gate = Gate(idle[0], how)
+        play_cut(play, gate, how)
+        until("the task is started elsewhere", lambda: play.world.truth(TASK).starts > 1)
+        broken = [it for it in play.world.broken if it.startswith("TWICE")]
+        assert not broken, broken
+    finally:
+        play.stopping = True
+        for node in play.nodes:
+            if node.alive():
+                node.kill()
+        play.links.stop()
+    print("1 passed, 0 failed")
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
