Orders to a restarted worker carry a fence that earlier calls don't have

Cause: a start that got no answer was stopped in the worker's former life and its task started elsewhere. Its later life knows nothing of the stop, is named by the same id, and its clock is behind the start's deadline: the start is carried out when it arrives. Fence and header can't tell the lives apart.

The two new tests of RestartTest don't compile without it.

Why it works: the first order after a restart carries the version of the newest commit. It is higher than the token of any call before, so the worker refuses those that are still on their way, and lower than the lease of any later leader. That order goes out when the registration shows the restart, not once the hold to the former life has timed out.

--- a/src/jobs/losses.cc
+++ b/src/jobs/losses.cc
@@ -141,10 +141,7 @@
     run.worker_crashed = !planned;
     run.was_alone = IsAlone(worker, *run.job);
   }
-  // Calls sent since the restart carry a lease by the clock of the former
-  // incarnation.
-  worker.lease_expires_by =
-      std::max(worker.lease_expires_by, now + LongestGrant(settings_));
+  ExpectFormerCalls(worker, now);
 }
 
 }  // namespace hemlockward::jobs
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -231,8 +231,7 @@
       .With("clock_ms", clock_ms)
       .With("expected_ms", least);
   worker->unresponsive = true;
-  worker->lease_expires_by =
-      std::max(worker->lease_expires_by, now + LongestGrant(settings_));
+  ExpectFormerCalls(*worker, now);
   return true;
 }
 
--- a/src/jobs/scheduler.cc
+++ b/src/jobs/scheduler.cc
@@ -44,6 +44,7 @@
   rows_.clear();
   job_rows_ = progress_rows_ = {};
   workers_.clear();
+  former_workers_.clear();
   unexplained_losses_.clear();
   tickets_.clear();
   advice_requested_.reset();
@@ -283,8 +284,10 @@
     }
     if (worker.stored) rows_.push_back({kWorkerTable, it->first, "", true});
     unexplained_losses_.erase(it->first);
-    it = workers_.erase(it);
+    it = Forget(it, now);
   }
+  std::erase_if(former_workers_,
+                [now](const auto& it) { return now >= it.second.forget_at; });
 }
 
 std::map<std::string, PoolDemand, std::less<>> Scheduler::Demand(
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -95,6 +95,11 @@
   Millis announced_until{0};
   std::string announced_for;
   Millis refused_until{0};
+  /// Fencing token of its orders; 0: that of the term.
+  std::uint64_t fence = 0;
+  /// It has restarted under its id. Orders to the former incarnation may still
+  /// reach it, so its own orders need a higher token.
+  bool fence_due = false;
   std::int64_t started_at_ms = 0;
   /// The same of the incarnation in its row; 0: unknown.
   std::int64_t row_started_at_ms = 0;
@@ -276,7 +281,9 @@
   bool LoadProgress(std::string_view key, std::string_view value, Millis now);
   void LoadWorker(std::string_view id, std::string_view value, Millis now);
 
-  void UpsertWorker(const WorkerEntry& entry, Millis now);
+  /// Returns true if the worker has restarted under its id: a report should be
+  /// requested at once.
+  bool UpsertWorker(const WorkerEntry& entry, Millis now);
   void RemoveWorker(std::string_view id);
   /// All registrations as of the time `at` have been applied.
   void OnRegistrationsRead(Millis at) { registrations_as_of_ = at; }
@@ -316,6 +323,10 @@
   /// requested, as it receives no orders before.
   bool OnClock(std::string_view worker, std::int64_t clock_ms, Millis sent,
                Millis now);
+  /// Returns the fencing token for an order to the worker. `term`: the version
+  /// of the lease; `newest`: that of the newest commit under it.
+  std::uint64_t FenceFor(Worker& worker, std::uint64_t term,
+                         std::uint64_t newest, Millis now);
   /// Returns true when a report should be requested soon because the run may
   /// never have started.
   bool OnStop(const StopOrder& order, bool answered, Millis now);
@@ -385,6 +396,11 @@
     bool alone = false;
     Millis at{0};
   };
+  /// A worker that was removed, but may come back under its id.
+  struct FormerWorker {
+    std::uint64_t fence = 0;
+    Millis forget_at{0};
+  };
   /// Jobs of one pool and its usable workers, in one plan.
   struct Pool {
     std::vector<Job*> jobs;
@@ -478,6 +494,12 @@
   /// have waited long.
   void KeepFree(const Job& job, const TaskId& id, int tasks, Pool& pool,
                 Millis now) const;
+  /// Removes the worker. Returns the next one.
+  std::map<std::string, Worker, std::less<>>::iterator Forget(
+      std::map<std::string, Worker, std::less<>>::iterator it, Millis now);
+  /// The worker runs as another incarnation than before: prepares it for calls
+  /// that were sent to the former one.
+  void ExpectFormerCalls(Worker& worker, Millis now);
   /// Ends silent workers whose VM has registered the later worker `entry`.
   void EndPredecessors(const WorkerEntry& entry, Millis now);
   /// `by`: the worker that runs on its VM now; may be empty. `ordered`: its VM
@@ -527,6 +549,7 @@
   std::uint64_t rows_written_ = 0;
   std::uint64_t rows_committed_ = 0;
   std::map<std::string, Worker, std::less<>> workers_;
+  std::map<std::string, FormerWorker, std::less<>> former_workers_;
   /// By worker id.
   std::multimap<std::string, UnexplainedLoss, std::less<>> unexplained_losses_;
   /// By step name, then worker id.
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -16,23 +16,33 @@
 // A smaller capacity counts from 4.5 s after it shrank, and its registration
 // may be a heartbeat (1.5 s) behind. A start takes 0.4 s at most.
 constexpr Millis kRegistrationValidity{2600};
+// Orders are carried out up to 12 s after they were sent.
+constexpr Millis kLatestOrder = base::Seconds(15);
 
 }  // namespace
 
-void Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
+bool Scheduler::UpsertWorker(const WorkerEntry& entry, Millis now) {
   if (const Worker* known = FindWorker(entry.id); known && known->ended) {
     const std::int64_t last =
         std::max(known->started_at_ms, known->entry.started_at_ms);
-    if (last > 0 && entry.started_at_ms > last) workers_.erase(entry.id);
+    if (last > 0 && entry.started_at_ms > last) {
+      Forget(workers_.find(entry.id), now);
+    }
   }
   const auto [it, fresh] = workers_.try_emplace(entry.id);
   Worker& worker = it->second;
   if (fresh) {
     worker.idle_since = worker.known_since = now;
     worker.leaders_lost_before = leaders_lost_;
+    if (const auto former = former_workers_.find(entry.id);
+        former != former_workers_.end()) {
+      worker.fence = former->second.fence;
+      ExpectFormerCalls(worker, now);
+    }
   }
-  if (entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
-      entry.started_at_ms > worker.started_at_ms) {
+  const bool restarted = entry.started_at_ms > 0 && worker.started_at_ms > 0 &&
+                         entry.started_at_ms > worker.started_at_ms;
+  if (restarted) {
     BeginIncarnation(worker, entry.started_at_ms, now);
     worker.adopted = false;
   }
@@ -47,6 +57,31 @@
         .With("address", entry.address);
   }
   if (fresh) EndPredecessors(entry, now);
+  return restarted;
+}
+
+std::map<std::string, Worker, std::less<>>::iterator Scheduler::Forget(
+    std::map<std::string, Worker, std::less<>>::iterator it, Millis now) {
+  former_workers_[it->first] = {it->second.fence, now + kLatestOrder};
+  return workers_.erase(it);
+}
+
+void Scheduler::ExpectFormerCalls(Worker& worker, Millis now) {
+  worker.fence_due = true;
+  // They grant leases by the clock of the former incarnation.
+  worker.lease_expires_by =
+      std::max(worker.lease_expires_by, now + LongestGrant(settings_));
+}
+
+std::uint64_t Scheduler::FenceFor(Worker& worker, std::uint64_t term,
+                                  std::uint64_t newest, Millis now) {
+  worker.fence = std::max(worker.fence, term);
+  if (worker.fence_due && newest > worker.fence) {
+    ExpectFormerCalls(worker, now);
+    worker.fence = newest;
+    worker.fence_due = false;
+  }
+  return worker.fence;
 }
 
 bool Scheduler::IsCapacityKnown(const Worker& worker, Millis now) const {
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -51,9 +51,9 @@
   const Millis sent = clock_.Now();
   TableRead read;
   read.table = platform::kWorkerEntryTable;
-  read.apply = [this, &seen](const platform::StoreRow& row) {
+  read.apply = [this, term, &seen](const platform::StoreRow& row) {
     seen.insert(row.key);
-    ApplyWorkerRow(row);
+    ApplyWorkerRow(term, row);
   };
   read.may_continue = [this, term] { return IsLeading(term); };
   const auto version = co_await ReadTable(platform_, std::move(read));
@@ -71,7 +71,8 @@
   co_return true;
 }
 
-void NodeProcess::ApplyWorkerRow(const platform::StoreRow& row) {
+void NodeProcess::ApplyWorkerRow(std::uint64_t term,
+                                 const platform::StoreRow& row) {
   const Millis now = clock_.Now();
   if (row.removed) {
     scheduler_.RemoveWorker(row.key);
@@ -85,7 +86,26 @@
     scheduler_.RemoveWorker(row.key);
     return;
   }
-  scheduler_.UpsertWorker(*entry, now);
+  if (scheduler_.UpsertWorker(*entry, now)) {
+    pool_.Spawn("fence_off", FenceOffFormerOrders(term, row.key));
+  }
+}
+
+Awaitable<void> NodeProcess::FenceOffFormerOrders(std::uint64_t term,
+                                                  std::string id) {
+  constexpr int kAttempts = 3;
+  for (int i = 0; i < kAttempts && IsLeading(term); ++i) {
+    const jobs::Worker* worker = scheduler_.FindWorker(id);
+    if (!worker || worker->ended || (worker->adopted && !worker->fence_due)) {
+      co_return;
+    }
+    co_await RenewWorker(term, id, false);
+    if (!IsLeading(term)) co_return;
+    // The next token is the version of a commit.
+    renewal_wanted_since_ = clock_.Now();
+    commit_signal_.Notify();
+    co_await committed_signal_.Wait(kRetryPause);
+  }
 }
 
 // Starts a coroutine for the worker if it is known and has none.
@@ -129,7 +149,7 @@
     }
     if (page->store_ms > 0) RecordFeed(*page);
     for (const platform::StoreRow& it : page->rows) {
-      ApplyWorkerRow(it);
+      ApplyWorkerRow(term, it);
       WatchWorker(term, it.key);
     }
     workers_version_ = std::max(workers_version_, page->version);
@@ -192,8 +212,9 @@
       worker->unresponsive ? 0 : scheduler_.LeaseEnd(*worker, sent);
   const Millis report_wait = wait ? kReportWait : Millis{0};
   if (deadline > 0) scheduler_.RecordLease(*worker, sent);
+  const std::uint64_t fence = FenceFor(*worker);
   std::string body =
-      platform::EncodeHold(fence_, acknowledged, deadline, report_wait);
+      platform::EncodeHold(fence, acknowledged, deadline, report_wait);
   const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::int64_t started_at_ms = worker->started_at_ms;
   auto report = co_await platform_.Hold(entry, std::move(body),
@@ -213,7 +234,8 @@
           .With("error", report.error().what);
     }
     worker->unresponsive = true;
-    if (report.error().failure == CallFailure::kConflict) {
+    if (report.error().failure == CallFailure::kConflict &&
+        !IsOutdated(id, fence)) {
       StepDown("a worker has accepted a newer fencing token");
       co_return;
     }
@@ -229,6 +251,12 @@
   }
   if (first || scheduler_.HasChanges()) commit_signal_.Notify();
   RequestPlan();
+  if (worker->fence_due && may_wait) {
+    renewal_wanted_since_ = now;
+    commit_signal_.Notify();
+    co_await committed_signal_.Wait(kRetryPause);
+    co_return;
+  }
   // Delays the next request: while the store is unavailable the worker would
   // report the unacknowledged ends again immediately.
   if (worker->reported_end_number > worker->committed_end_number && !wait &&
@@ -324,7 +352,7 @@
 
 Awaitable<void> NodeProcess::ExecuteStart(std::uint64_t term,
                                           jobs::StartOrder order) {
-  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  jobs::Worker* worker = scheduler_.FindWorker(order.worker);
   const jobs::Job* job = scheduler_.FindJob(order.task.job);
   const Millis sent = clock_.Now();
   if (!worker || !job || !CanSendOrders()) {
@@ -333,8 +361,9 @@
   }
   const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::string payload = job->spec.payload;
+  const std::uint64_t fence = FenceFor(*worker);
   platform::StartRequest request{order.task,        order.run, payload,
-                                 order.deadline_ms, fence_,    order.checkpoint,
+                                 order.deadline_ms, fence,     order.checkpoint,
                                  order.ticket};
   platform::OrderReply reply;
   ++starts_in_flight_;
@@ -352,12 +381,13 @@
       .With("task", order.task.ToText())
       .With("run", order.run)
       .With("worker", order.worker)
-      .With("fence", fence_)
+      .With("fence", fence)
       .With("answer", jobs::ToText(answer))
       .With("reason", reply.reason)
       .With("ms", (now - sent).count);
   if (!IsLeading(term)) co_return;
-  if (answer == jobs::StartAnswer::kFenced) {
+  const bool fenced = answer == jobs::StartAnswer::kFenced;
+  if (fenced && !IsOutdated(order.worker, fence)) {
     StepDown("a worker has accepted a newer fencing token");
     co_return;
   }
@@ -372,11 +402,12 @@
 
 Awaitable<void> NodeProcess::ExecuteStop(std::uint64_t term,
                                          jobs::StopOrder order) {
-  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  jobs::Worker* worker = scheduler_.FindWorker(order.worker);
   bool answered = false;
   if (worker && CanSendOrders()) {
     const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
-    std::string body = platform::EncodeStop(order.task, order.run, fence_);
+    std::string body =
+        platform::EncodeStop(order.task, order.run, FenceFor(*worker));
     answered = co_await platform_.Stop(entry, std::move(body), kOrderTimeout,
                                        OrderPermission(term));
   }
@@ -396,11 +427,11 @@
 
 Awaitable<void> NodeProcess::ExecutePace(std::uint64_t term,
                                          jobs::PaceOrder order) {
-  const jobs::Worker* worker = scheduler_.FindWorker(order.worker);
+  jobs::Worker* worker = scheduler_.FindWorker(order.worker);
   if (!worker || !CanSendOrders() || !IsLeading(term)) co_return;
   const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
-  std::string body =
-      platform::EncodePace(order.task, order.run, order.percent, fence_);
+  std::string body = platform::EncodePace(order.task, order.run, order.percent,
+                                          FenceFor(*worker));
   const bool done = co_await platform_.Pace(
       entry, std::move(body), kOrderTimeout, OrderPermission(term));
   LogLine(LogLevel::kInfo, "run_paced")
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -196,7 +196,10 @@
   // Leader's work (leader.cc).
   Awaitable<void> FollowWorkers(std::uint64_t term);
   Awaitable<bool> ReadWorkers(std::uint64_t term);
-  void ApplyWorkerRow(const platform::StoreRow& row);
+  void ApplyWorkerRow(std::uint64_t term, const platform::StoreRow& row);
+  /// Makes a worker that has restarted refuse orders to its former incarnation.
+  /// A report of that one may still be awaited.
+  Awaitable<void> FenceOffFormerOrders(std::uint64_t term, std::string id);
   void WatchWorker(std::uint64_t term, const std::string& id);
   void WatchAllWorkers(std::uint64_t term);
   Awaitable<void> RenewWorkerLoop(std::uint64_t term, std::string id);
@@ -222,6 +225,16 @@
   Awaitable<void> FleetLoop(std::uint64_t term);
   Awaitable<void> ExecuteVmOrder(std::uint64_t term, jobs::VmOrder order);
   Awaitable<void> WriteWaveStates(std::uint64_t term);
+  /// Fencing token for an order to the worker.
+  std::uint64_t FenceFor(jobs::Worker& worker) {
+    return scheduler_.FenceFor(worker, fence_, heartbeat_version_,
+                               clock_.Now());
+  }
+  /// Whether orders to the worker have a higher token by now.
+  [[nodiscard]] bool IsOutdated(std::string_view worker, std::uint64_t fence) {
+    const jobs::Worker* it = scheduler_.FindWorker(worker);
+    return !it || it->fence > fence;
+  }
   void RequestPlan() { plan_signal_.Notify(), plan_due_ = true; }
 
   kernel::WorkerPool& pool_;
--- a/src/node/renewal.h
+++ b/src/node/renewal.h
@@ -23,7 +23,8 @@
                                    base::Millis commit_wait_ends,
                                    base::Millis now) {
   const bool wanted = !worker.adopted || worker.unresponsive ||
-                      !worker.runs.empty() || worker.unknown_runs > 0 ||
+                      worker.fence_due || !worker.runs.empty() ||
+                      worker.unknown_runs > 0 ||
                       worker.reported_end_number > worker.confirmed_end_number;
   if (worker.ended || !wanted || worker.entry.address.empty()) {
     return RenewalStep::kRest;
--- a/tests/jobs_restarts_test.cc
+++ b/tests/jobs_restarts_test.cc
@@ -70,6 +70,7 @@
   EXPECT_FALSE(worker.unresponsive);
   EXPECT_TRUE(scheduler_.OnClock("w", own - 100, now_, now_));
   EXPECT_TRUE(worker.unresponsive);
+  EXPECT_TRUE(worker.fence_due);
   EXPECT_GE(worker.lease_expires_by, now_ + LongestLeaseTime());
 }
 
@@ -84,5 +85,42 @@
             now_ + LongestLeaseTime());
 }
 
+// A start that was meant for the former incarnation was carried out by the new
+// one, while its task was at work elsewhere (system_restarted_worker_late).
+TEST_F(RestartTest, OrdersToANewIncarnationCarryAHigherToken) {
+  constexpr std::uint64_t kTerm = 7;
+  AddWorker("w");
+  const auto fence = [this](std::uint64_t newest) {
+    return scheduler_.FenceFor(*scheduler_.FindWorker("w"), kTerm, newest,
+                               now_);
+  };
+  EXPECT_EQ(fence(9), kTerm);
+  Register("w", 2);
+  // Without a commit since then, no higher token is known.
+  EXPECT_EQ(fence(kTerm), kTerm);
+  EXPECT_EQ(fence(10), 10U);
+  EXPECT_EQ(fence(12), 10U);
+  Register("w", 3);
+  EXPECT_EQ(fence(10), 10U);
+  EXPECT_EQ(fence(13), 13U);
+}
+
+TEST_F(RestartTest, WorkerThatComesBackAfterItWasForgottenGetsAHigherToken) {
+  constexpr std::uint64_t kTerm = 7;
+  AddWorker("w");
+  const auto fence = [this](std::uint64_t newest) {
+    return scheduler_.FenceFor(*scheduler_.FindWorker("w"), kTerm, newest,
+                               now_);
+  };
+  Register("w", 2);
+  EXPECT_EQ(fence(10), 10U);
+  const WorkerEntry entry = scheduler_.FindWorker("w")->entry;
+  scheduler_.RemoveWorker("w");
+  Plan(base::Seconds(7));
+  ASSERT_EQ(scheduler_.FindWorker("w"), nullptr);
+  scheduler_.UpsertWorker(entry, now_);
+  EXPECT_EQ(fence(11), 11U);
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
