After three lost leaders, connections to a worker are closed after each call

Cause: connections of a machine that lost power stay open at a worker, which accepts 64. Each leader kept at least two, one of them waiting for an end, so their sum had no bound.

The new test of the scheduler doesn't compile without the change; that of the HTTP client fails without it (a connection stayed idle).

Why it works: from the third lost leader in a worker's life on, only a call in progress at the moment of the loss, some milliseconds long, leaves a connection.

--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -102,6 +102,9 @@
   /// Start of this incarnation, Unix ms; 0: unknown.
   std::int64_t started_at_ms = 0;
   int max_connections = 0;  ///< That this leader may open to it; 0: any number.
+  /// Connections to it are closed after each call, and no call waits: those
+  /// that are open when the leader's VM loses power stay open at the worker.
+  bool brief_connections = false;
 };
 
 enum class VmState : std::uint8_t { kUp, kMoving, kUpkeep, kDown };
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -18,6 +18,8 @@
 constexpr Millis kRegistrationValidity{2600};
 // Orders are carried out up to 12 s after they were sent.
 constexpr Millis kLatestOrder = base::Seconds(15);
+// The connections of so many lost leaders, and of this one, may stay open.
+constexpr int kLostForBriefConnections = 3;
 
 }  // namespace
 
@@ -185,7 +187,8 @@
 }
 
 int MaxConnections(int lost) {
-  // Halved with each lost leader: six of them together stay below 64.
+  // Halved with each lost leader: six of them together stay below 64. Later
+  // ones leave few open, as they close them after each call.
   constexpr int kFirst = 32;
   constexpr int kLeast = 2;  // One waits for ends of runs.
   constexpr int kMostHalvings = 4;
@@ -194,8 +197,9 @@
 
 WorkerEntry Scheduler::EntryForCalls(const Worker& worker) const {
   WorkerEntry entry = worker.entry;
-  entry.max_connections =
-      MaxConnections(leaders_lost_ - worker.leaders_lost_before);
+  const int lost = leaders_lost_ - worker.leaders_lost_before;
+  entry.max_connections = MaxConnections(lost);
+  entry.brief_connections = lost >= kLostForBriefConnections;
   return entry;
 }
 
--- a/src/kernel/http.cc
+++ b/src/kernel/http.cc
@@ -502,7 +502,7 @@
   response.status = static_cast<int>(answer.result_int());
   response.headers = CopyHeaders(answer);
   response.body = std::move(answer.body());
-  if (answer.keep_alive() && buffer.size() == 0) {
+  if (message.keep_alive() && answer.keep_alive() && buffer.size() == 0) {
     StoreIdleConnection(address, std::move(stream));
   }
   co_return response;
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -134,7 +134,8 @@
   /// length is an error. `timeout` includes the wait for a free connection.
   /// Idle connections that the server has closed are discarded before use, and
   /// those to an address where a call on such a connection has timed out,
-  /// unless they were used after it was sent. `may_send`, if given, is called
+  /// unless they were used after it was sent. A request with the header
+  /// `Connection: close` ends its connection. `may_send`, if given, is called
   /// once the connection is established, right before the first byte is sent;
   /// if it returns false, the call fails with kNotSent. If `header_timeout`
   /// isn't 0, the header of the response must arrive within that time after the
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -31,6 +31,8 @@
 /// Limits the age of progress data; well below the workers' lease.
 constexpr Millis kReportWait{900};
 constexpr Millis kReportTimeoutSlack{800};
+/// Interval of the reports of a worker that isn't asked to wait for an end.
+constexpr Millis kBriefReportInterval{250};
 constexpr Millis kSilentWorkerRetryPause{300};
 /// Longest wait for a commit. Ends of runs are acknowledged with the next
 /// report request after they are committed.
@@ -199,7 +201,9 @@
   jobs::Worker* worker = scheduler_.FindWorker(id);
   if (!worker || worker->ended || !CanSendOrders()) co_return;
   const Millis sent = clock_.Now();
-  const bool wait = may_wait && worker->adopted && !worker->unresponsive &&
+  const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
+  const bool wait = may_wait && !entry.brief_connections && worker->adopted &&
+                    !worker->unresponsive &&
                     (!worker->runs.empty() || worker->unknown_runs > 0) &&
                     worker->reported_end_number == worker->committed_end_number;
   // After a silence the worker may have restarted, and then numbers its ends
@@ -215,7 +219,6 @@
   const std::uint64_t fence = FenceFor(*worker);
   std::string body =
       platform::EncodeHold(fence, acknowledged, deadline, report_wait);
-  const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::int64_t started_at_ms = worker->started_at_ms;
   auto report = co_await platform_.Hold(entry, std::move(body),
                                         report_wait + kReportTimeoutSlack,
@@ -257,6 +260,10 @@
     co_await committed_signal_.Wait(kRetryPause);
     co_return;
   }
+  if (entry.brief_connections && may_wait) {
+    co_await kernel::Sleep(kBriefReportInterval);
+    co_return;
+  }
   // Delays the next request: while the store is unavailable the worker would
   // report the unacknowledged ends again immediately.
   if (worker->reported_end_number > worker->committed_end_number && !wait &&
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -275,6 +275,22 @@
   pool.Stop();
 }
 
+TEST(HttpClientTest, ConnectionIsClosedAfterACallThatAsksForIt) {
+  WorkerPool pool(1);
+  CountingServer server(pool);
+  HttpClient client(pool);
+  const std::jthread thread([&pool] { pool.Run(); });
+  HttpRequest request;
+  request.headers.push_back({"Connection", "close"});
+  EXPECT_TRUE(tests::RunBlocking(
+      pool, client.Call(server.Address(), request, base::Seconds(10))));
+  EXPECT_EQ(client.idle_connections(), 0U);
+  EXPECT_TRUE(tests::RunBlocking(
+      pool, client.Call(server.Address(), {}, base::Seconds(10))));
+  EXPECT_EQ(client.idle_connections(), 1U);
+  pool.Stop();
+}
+
 TEST(HttpClientTest, CallThatGetsNoConnectionInTimeIsNotSent) {
   WorkerPool pool(1);
   CountingServer server(pool);
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -199,6 +199,26 @@
   EXPECT_EQ(limit("w"), MaxConnections(0));
 }
 
+// Lost leaders left at least two connections each at a worker, which had none
+// left after 28 of them (review/10: LOST).
+TEST_F(SchedulerTest, LaterLeadersCloseConnectionsToWorkersAfterEachCall) {
+  AddWorker("w");
+  const Worker worker = *scheduler_.FindWorker("w");
+  const std::string row = EncodeWorkerRow(worker);
+  for (const int lost : {0, 2, 3, 28}) {
+    scheduler_.BeginTerm(1, now_, lost);
+    scheduler_.LoadWorker("w", row, now_);
+    scheduler_.UpsertWorker(worker.entry, now_);
+    AddWorker("new");
+    const auto is_brief = [this](const char* id) {
+      return scheduler_.EntryForCalls(*scheduler_.FindWorker(id))
+          .brief_connections;
+    };
+    EXPECT_EQ(is_brief("w"), lost >= 3) << lost;
+    EXPECT_FALSE(is_brief("new"));
+  }
+}
+
 // It registers before the registration of the ended incarnation is removed.
 TEST_F(SchedulerTest, WorkerThatRestartsUnderItsIdAfterItEndedIsUsed) {
   AddWorker("w");
