A lasting task waits four seconds at most for a worker of its own

Cause: after two losses a task runs alone. Each worker had a long task, so none fell empty, and the wait had no end.

Why it works: a worker is kept free for it after 2 s; after 4 s the task starts on the one with the fewest runs, so it is back within the six seconds that a lasting task has.

--- a/src/jobs/placing.cc
+++ b/src/jobs/placing.cc
@@ -177,9 +177,9 @@
       return false;
     }
     const bool waited = HasWaitedForAnEmptyWorker(task, now);
-    if (waited ? !IsAlone(worker, job) : !HasOnlyRunsOf(worker, job)) {
-      return false;
-    }
+    const bool alone =
+        waited ? IsAlone(worker, job) : HasOnlyRunsOf(worker, job);
+    if (!alone && !MayRunBesideOthers(step, task, now)) return false;
   }
   if (!step.required_label.empty() && !HasLabel(worker, step.required_label)) {
     return false;
@@ -278,6 +278,10 @@
       if (!step.data_rack.empty() && !HasLabel(*it, step.data_rack)) {
         score += 2 * kScorePenalty;
       }
+      // It may crash the worker under the others.
+      if (suspicion == Suspicion::kRunAlone) {
+        score += kScorePenalty * static_cast<std::int64_t>(it->runs.size());
+      }
       // Tasks that were lost together may include one that crashes workers.
       if (suspicion == Suspicion::kSuspect && it->suspect_runs > 0) {
         score += 4 * kScorePenalty;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -142,6 +142,8 @@
 /// Whether a task that must run alone has waited long for a worker without any
 /// runs.
 bool HasWaitedForAnEmptyWorker(const Task& task, Millis now);
+/// Whether a task that should run alone has waited too long for that.
+bool MayRunBesideOthers(const StepSpec& step, const Task& task, Millis now);
 /// Whether the worker's row is missing or names another incarnation.
 inline bool IsRowDue(const Worker& worker) {
   const bool current = worker.row_started_at_ms == worker.started_at_ms;
--- a/src/jobs/suspects.cc
+++ b/src/jobs/suspects.cc
@@ -13,6 +13,9 @@
 // Then a worker is kept free for it, and it shares one with long-running tasks,
 // which a crash would interrupt.
 constexpr Millis kEmptyWorkerWait = base::Seconds(2);
+// A long-running task waits no longer than this: it serves others. The worker
+// kept free for it has got no other runs meanwhile.
+constexpr Millis kLastingTaskWait = base::Seconds(4);
 // Each plan in which the task still waits extends it.
 constexpr Millis kKeptFreeFor{500};
 
@@ -22,6 +25,10 @@
   return now - task.idle_since > kEmptyWorkerWait;
 }
 
+bool MayRunBesideOthers(const StepSpec& step, const Task& task, Millis now) {
+  return step.long_running && now - task.idle_since > kLastingTaskWait;
+}
+
 void Scheduler::KeepFree(const Job& job, const TaskId& id, int tasks,
                          Pool& pool, Millis now) const {
   const StepSpec& step = job.spec.steps[id.step];
--- a/tests/jobs_crashes_fixture.h
+++ b/tests/jobs_crashes_fixture.h
@@ -66,6 +66,26 @@
     scheduler_.Plan(now_, kWall + Millis{now_.count}, false);
   }
 
+  // All workers report that they go on, and their leases are renewed.
+  void ReportAll() {
+    std::map<std::string, std::vector<ActiveRun>> active;
+    for (const auto& [id, worker] : scheduler_.workers()) {
+      if (worker.ended) continue;
+      auto& runs = active[id];
+      for (const auto& [task, run] : worker.runs) {
+        runs.push_back({task, run.number, "", ++percent_, 0});
+      }
+    }
+    for (const auto& [id, runs] : active) {
+      WorkerReport report;
+      report.clock_ms = now_.count + 500;
+      report.started_at_ms = scheduler_.workers().at(id).entry.started_at_ms;
+      report.active = runs;
+      scheduler_.OnReport(id, report, now_, now_);
+      scheduler_.RecordLease(scheduler_.workers().at(id), now_);
+    }
+  }
+
   void Return(const std::string& id, std::vector<EndedRun> ended) {
     WorkerReport report;
     report.clock_ms = now_.count + 500;
@@ -183,6 +203,7 @@
   }
 
   int lives_ = 0;
+  int percent_ = 0;
   std::uint64_t term_ = 0;
   std::string row_;
   std::string progress_;
--- a/tests/jobs_crashes_test.cc
+++ b/tests/jobs_crashes_test.cc
@@ -59,6 +59,37 @@
   EXPECT_LE(FirstTask("a").crashes.lost_runs.size(), kMostKept);
 }
 
+// It waited for a worker without other runs as long as there was none
+// (review/trials-2/lasting_waits.py: LOST).
+TEST_F(CrashTest, LastingTaskRunsBesideOthersIfNoWorkerFallsIdle) {
+  constexpr int kWorkers = 5;
+  AddVms(kWorkers);
+  StepSpec wide = Step(kWorkers, 1000);
+  wide.max_per_worker = 1;
+  Submit("long", OneStep(wide));
+  ASSERT_EQ(Start().starts.size(), static_cast<std::size_t>(kWorkers));
+  StepSpec step = Step(1, 1000);
+  step.long_running = true;
+  Submit("a", OneStep(step));
+  for (int i = 0; i < 2; ++i) {
+    const StartOrder order = StartWithin(base::Seconds(10));
+    ASSERT_EQ(order.task.job, "a");
+    // Its worker is lost, with the long task there: nobody replaces it.
+    scheduler_.workers().at(order.worker).listed = false;
+    scheduler_.EndWorker(order.worker, WorkerLoss::kCrashed, now_);
+    Store();
+  }
+  EXPECT_EQ(FirstTask("a").crashes.suspicion(), Suspicion::kRunAlone);
+  const Millis begin = now_;
+  StartOrder order;
+  while (order.worker.empty() && now_ - begin < base::Seconds(6)) {
+    order = StartWithin(Millis{200});
+    ReportAll();
+  }
+  EXPECT_EQ(order.task.job, "a");
+  EXPECT_GT(now_ - begin, base::Seconds(2));
+}
+
 TEST_F(CrashTest, LossOfAWorkerIsStoredBeforeTheTaskStartsAgain) {
   AddVms(2);
   Submit("a", OneStep(Step(1, 1000)));
--- a/tests/jobs_unanswered_test.cc
+++ b/tests/jobs_unanswered_test.cc
@@ -1,5 +1,5 @@
-// Starts that get no answer: whether they are carried out is settled by a report
-// or by a stop.
+// Starts that get no answer: whether they are carried out is settled by a
+// report or by a stop.
 
 #include <gtest/gtest.h>
 
