Soak: workers that restart under their ids are cut off soon after

Change: the fault draws from a sequence of its own, so the others keep their schedule. A leader asks for another commit only if the first call after a restart had no higher token.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -101,12 +101,14 @@
     if (!worker || worker->ended || (worker->adopted && !worker->fence_due)) {
       co_return;
     }
+    if (i > 0) {
+      // A higher token is the version of another commit.
+      renewal_wanted_since_ = clock_.Now();
+      commit_signal_.Notify();
+      co_await committed_signal_.Wait(kRetryPause);
+      if (!IsLeading(term)) co_return;
+    }
     co_await RenewWorker(term, id, false);
-    if (!IsLeading(term)) co_return;
-    // The next token is the version of a commit.
-    renewal_wanted_since_ = clock_.Now();
-    commit_signal_.Notify();
-    co_await committed_signal_.Wait(kRetryPause);
   }
 }
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -124,6 +124,7 @@
         self.random = random.Random(seed)
         self.extra_random = random.Random(f"later faults {seed}")  # Other faults keep their schedule.
         self.config_random = random.Random(f"configurations {seed}")  # Neither.
+        self.restart_random = random.Random(f"restarts {seed}")
         self.watch = configurations.Watch(self)
         self.bursting = False
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -375,6 +376,23 @@
         self.later(BURST_S + refused_s, take_again)
         self.later(BURST_S + refused_s + gap_s, lose)
 
+    def restart_then_cut(self):
+        """A worker starts again under its id, at times without its leader's knowledge, and is cut off soon after."""
+        draw = self.restart_random
+        with self.world.lock:
+            machine = draw.choice([it for it in self.world.machines.values() if it.life])
+            machine.life.active.clear()
+            machine.bring_up(keep_id=True)
+            if draw.random() < 0.5:
+                machine.beat_at = time.monotonic()  # It registers with its next heartbeat.
+        cut_after_s, cut_s = draw.uniform(0.1, 2.0), draw.uniform(3.0, 7.0)
+
+        def cut():
+            machine.link.held = {"to", "from"}
+
+        self.later(cut_after_s, cut)
+        self.later(cut_after_s + cut_s, machine.link.clear)
+
     def resize_worker(self):
         """In the pool whose workers may not guard their capacity."""
         machine = self.extra_random.choice(list(self.world.machines.values()))
@@ -406,6 +424,7 @@
         next_refusal = time.monotonic() + self.extra_random.uniform(2, 5)
         next_size = time.monotonic() + 2
         next_configuration = time.monotonic() + 1
+        next_restart = time.monotonic() + self.restart_random.uniform(1, 4)
         next_silence = time.monotonic() + self.config_random.uniform(1, 4)
         while time.monotonic() < end:
             now = time.monotonic()
@@ -422,6 +441,9 @@
             if now >= next_refusal and not self.configurations_only:
                 self.begin_fault(self.refuse_then_lose_leader)
                 next_refusal = now + self.extra_random.uniform(7, 10)
+            if now >= next_restart and not self.configurations_only:
+                self.begin_fault(self.restart_then_cut)
+                next_restart = now + self.restart_random.uniform(2, 5)
             if now >= next_size:
                 self.resize_worker()
                 next_size = now + self.extra_random.uniform(0.5, 2.0)
