--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -558,8 +558,8 @@
   std::map<std::string, std::map<std::string, Ticket, std::less<>>, std::less<>>
       tickets_;
   /// When the call for advice that is in progress was requested. The service
-  /// handles one call at a time, so the next one, for the step that is then the
-  /// most urgent, waits here and not there.
+  /// handles one call at a time, so the other steps wait with the leader, which
+  /// asks for the most urgent one next.
   std::optional<Millis> advice_requested_;
   /// By queue name.
   std::map<std::string, ArrivalRate, std::less<>> arrivals_;
