--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -508,7 +508,7 @@
   /// was ordered away.
   void EndReplacedWorker(Worker& worker, std::string_view by, bool ordered,
                          Millis now);
-  /// The worker that had ended before a listing was requested is in it.
+  /// Uses a worker again that was taken for ended: a later listing has it up.
   static void TakeBack(Worker& worker);
   /// Returns true when the VM certainly no longer runs this worker.
   [[nodiscard]] bool HasReplacedWorker(const Vm& vm,
