Calls to a worker's former life are counted until they end

Callers saw a task run twice at once (TWICE; the users' own runs) after a worker had started again under its id and was cut off soon after.

Cause: a start or a hold that was on its way when the restart was learned carries a deadline by the former clock. The next life, which knows no fencing token yet, takes it for the longest lease, 6 s, at any time until the call ends. The leader counted these 6 s from the moment it learned of the restart. It also took the silence of such a call for that of the new life.

Now each call that may grant a lease is compared at its end with the number of restarts known when it was sent; the longest lease counts from then if there was one since. The number survives a worker that is forgotten and listed again.

The unit tests don't compile before.

--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -193,8 +193,7 @@
     run.phase = RunPhase::kUnsettled;
     worker->stops_wanted = worker->unresponsive = true;
     // It may be carried out by a worker that has restarted under its id.
-    worker->lease_expires_by =
-        std::max(worker->lease_expires_by, now + LongestGrant(settings_));
+    ExpectLongestLease(*worker, now);
     return;
   }
   Job& job = *run.job;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -196,6 +196,10 @@
   /// requested, as it receives no orders before.
   bool OnClock(std::string_view worker, std::int64_t clock_ms, Millis sent,
                Millis now);
+  /// A call that may grant a lease has ended; it was sent when the worker had
+  /// restarted `restarts` times. Returns true if it has restarted since: its
+  /// present incarnation may have taken the call at any time until now.
+  bool OnLeaseCallEnded(std::string_view worker, int restarts, Millis now);
   /// Returns the fencing token for an order to the worker. `term`: the version
   /// of the lease; `newest`: that of the newest commit under it.
   std::uint64_t FenceFor(Worker& worker, std::uint64_t term,
@@ -272,6 +276,7 @@
   /// A worker that was removed, but may come back under its id.
   struct FormerWorker {
     std::uint64_t fence = 0;
+    int restarts = 0;
     Millis forget_at{0};
   };
   /// Jobs of one pool and its usable workers, in one plan.
@@ -373,6 +378,8 @@
   /// The worker runs as another incarnation than before: prepares it for calls
   /// that were sent to the former one.
   void ExpectFormerCalls(Worker& worker, Millis now);
+  /// A call that grants the worker the longest lease may be carried out now.
+  void ExpectLongestLease(Worker& worker, Millis now) const;
   /// Ends silent workers whose VM has registered the later worker `entry`.
   void EndPredecessors(const WorkerEntry& entry, Millis now);
   /// `by`: the worker that runs on its VM now; may be empty. `ordered`: its VM
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -89,6 +89,8 @@
   std::int64_t started_at_ms = 0;
   /// The same of the incarnation in its row; 0: unknown.
   std::int64_t row_started_at_ms = 0;
+  /// Times that it was learned to have restarted under its id.
+  int restarts = 0;
   /// Leaders lost before one first used this incarnation.
   int leaders_lost_before = 0;
   /// Reading of its clock at local time `clock_at`.
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -39,6 +39,7 @@
     if (const auto former = former_workers_.find(entry.id);
         former != former_workers_.end()) {
       worker.fence = former->second.fence;
+      worker.restarts = former->second.restarts;
       ExpectFormerCalls(worker, now);
     }
   }
@@ -64,22 +65,37 @@
 
 std::map<std::string, Worker, std::less<>>::iterator Scheduler::Forget(
     std::map<std::string, Worker, std::less<>>::iterator it, Millis now) {
-  former_workers_[it->first] = {it->second.fence, now + kLatestOrder};
+  const Worker& worker = it->second;
+  former_workers_[it->first] = {worker.fence, worker.restarts,
+                                now + kLatestOrder};
   return workers_.erase(it);
 }
 
 void Scheduler::ExpectFormerCalls(Worker& worker, Millis now) {
+  ++worker.restarts;
   worker.fence_due = true;
   // They grant leases by the clock of the former incarnation.
+  ExpectLongestLease(worker, now);
+}
+
+void Scheduler::ExpectLongestLease(Worker& worker, Millis now) const {
   worker.lease_expires_by =
       std::max(worker.lease_expires_by, now + LongestGrant(settings_));
 }
 
+bool Scheduler::OnLeaseCallEnded(std::string_view id, int restarts,
+                                 Millis now) {
+  Worker* worker = FindWorker(id);
+  if (!worker || worker->restarts == restarts) return false;
+  ExpectLongestLease(*worker, now);
+  return true;
+}
+
 std::uint64_t Scheduler::FenceFor(Worker& worker, std::uint64_t term,
                                   std::uint64_t newest, Millis now) {
   worker.fence = std::max(worker.fence, term);
   if (worker.fence_due && newest > worker.fence) {
-    ExpectFormerCalls(worker, now);
+    ExpectLongestLease(worker, now);
     worker.fence = newest;
     worker.fence_due = false;
   }
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -222,6 +222,7 @@
   std::string body =
       platform::EncodeHold(fence, acknowledged, deadline, report_wait);
   const std::int64_t started_at_ms = worker->started_at_ms;
+  const int restarts = worker->restarts;
   auto report = co_await platform_.Hold(entry, std::move(body),
                                         report_wait + kReportTimeoutSlack,
                                         OrderPermission(term));
@@ -229,7 +230,10 @@
   worker = scheduler_.FindWorker(id);
   if (!worker) co_return;
   const Millis now = clock_.Now();
+  const bool restarted = scheduler_.OnLeaseCallEnded(id, restarts, now);
   if (!report && report.error().failure == CallFailure::kOverload) co_return;
+  // The former incarnation's silence tells nothing of the present one.
+  if (!report && restarted) co_return;
   if (!report) {
     if (!worker->unresponsive) {
       LogLine(LogLevel::kWarning, "worker_silent")
@@ -370,6 +374,7 @@
   }
   const jobs::WorkerEntry entry = scheduler_.EntryForCalls(*worker);
   const std::string payload = job->spec.payload;
+  const int restarts = worker->restarts;
   const std::uint64_t fence = FenceFor(*worker);
   platform::StartRequest request{order.task,        order.run, payload,
                                  order.deadline_ms, fence,     order.checkpoint,
@@ -401,6 +406,7 @@
     co_return;
   }
   scheduler_.OnStart(order, answer, now);
+  scheduler_.OnLeaseCallEnded(order.worker, restarts, now);
   const bool restarted =
       scheduler_.OnClock(order.worker, reply.clock_ms, sent, now);
   if (restarted || answer == jobs::StartAnswer::kUnknown) {
--- a/tests/jobs_restarts_test.cc
+++ b/tests/jobs_restarts_test.cc
@@ -122,5 +122,41 @@
   EXPECT_EQ(fence(11), 11U);
 }
 
+// A hold that was on its way when the restart was learned reached the new
+// incarnation later (users' runs: TWICE).
+TEST_F(RestartTest, CallToTheFormerIncarnationMayGrantTheLongestLeaseToItsEnd) {
+  AddWorker("w");
+  const int restarts = scheduler_.FindWorker("w")->restarts;
+  EXPECT_FALSE(scheduler_.OnLeaseCallEnded("w", restarts, now_));
+  Register("w", 2);
+  const Millis known = scheduler_.FindWorker("w")->lease_expires_by;
+  now_ += Millis{1500};
+  EXPECT_TRUE(scheduler_.OnLeaseCallEnded("w", restarts, now_));
+  EXPECT_GT(scheduler_.FindWorker("w")->lease_expires_by, known);
+  EXPECT_GE(scheduler_.FindWorker("w")->lease_expires_by,
+            now_ + LongestLeaseTime());
+  // Calls to the present incarnation carry its own clock.
+  const Millis last = scheduler_.FindWorker("w")->lease_expires_by;
+  now_ += Millis{1500};
+  EXPECT_FALSE(scheduler_.OnLeaseCallEnded(
+      "w", scheduler_.FindWorker("w")->restarts, now_));
+  EXPECT_EQ(scheduler_.FindWorker("w")->lease_expires_by, last);
+}
+
+TEST_F(RestartTest, CallEndsAfterItsWorkerWasForgottenAndCameBack) {
+  AddWorker("w");
+  const int restarts = scheduler_.FindWorker("w")->restarts;
+  const WorkerEntry entry = scheduler_.FindWorker("w")->entry;
+  scheduler_.RemoveWorker("w");
+  Plan(base::Seconds(7));
+  ASSERT_EQ(scheduler_.FindWorker("w"), nullptr);
+  EXPECT_FALSE(scheduler_.OnLeaseCallEnded("w", restarts, now_));
+  scheduler_.UpsertWorker(entry, now_);
+  now_ += Millis{500};
+  EXPECT_TRUE(scheduler_.OnLeaseCallEnded("w", restarts, now_));
+  EXPECT_GE(scheduler_.FindWorker("w")->lease_expires_by,
+            now_ + LongestLeaseTime());
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
--- a/tests/system/restarted_worker_test.py
+++ b/tests/system/restarted_worker_test.py
@@ -1,12 +1,13 @@
 """A worker that starts again under its id takes calls that were meant for its former life, and is cut off
 soon after. No task may run twice.
 
-Usage: restarted_worker_test.py registered|answered|unanswered|handover|late (with HEMLOCKWARD_BIN set)
+Usage: restarted_worker_test.py registered|answered|unanswered|handover|late|held (with HEMLOCKWARD_BIN set)
   registered: an idle worker restarts and registers, a task starts there
   answered: its leader doesn't learn of the restart and starts a task there
   unanswered: the same, and the worker is cut off before it answers
   handover: the same as answered, and the leader hands over to another node
   late: a start gets no answer; it is carried out once the worker has restarted and the task runs elsewhere
+  held: the worker restarts when a start and a hold are on their way; they reach its next life, the hold later
 """
 
 import json
@@ -32,6 +33,7 @@
 SILENCE_S = 3.0
 RESTART_AFTER_S = 1.5
 LATE_S = 2.5
+HELD_S = 1.1  # Less than the leader waits for the answer to a hold.
 WATCH_S = 2.0
 
 
@@ -87,6 +89,30 @@
         return answer
 
 
+class HeldGate:
+    """In front of a machine: a start and a hold reach the next life of its worker, which is cut off otherwise."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.serve = machine.serve
+        self.seen = set()
+        machine.serve = self.pass_on
+
+    def pass_on(self, *request):
+        path = request[2]
+        with self.machine.world.lock:
+            first = path not in self.seen
+            self.seen.add(path)
+            if first and path == "/v1/run-start":
+                restart(self.machine, registers=True)
+                self.serve(*request)
+        if first and path == "/v1/hold":
+            time.sleep(HELD_S)
+            self.serve(*request)
+        time.sleep(SILENCE_S)
+        return None
+
+
 def play_late(play, gate, others):
     until("a start is held back", lambda: gate.held)
     assert call(play.nodes[0], "DELETE", f"/q-a/{LARGE}") == 200
@@ -129,12 +155,18 @@
             until("it is at work", lambda: is_at_work(pool, job_id, 2))
         idle = [it for it in pool if not it.life.active]
         assert len(idle) == 1, [list(it.life.active) for it in pool]
-        gate = Gate(idle[0], how)
-        if how == "late":
+        if how == "held":
+            HeldGate(idle[0])
+            until("the job is accepted", lambda: submit(play, JOB, STEP))
+            until("the task has begun", lambda: is_at_work(idle, JOB, 1))
+            assert call(play.nodes[0], "DELETE", f"/q-a/{LARGE}") == 200
+            until("the task is started elsewhere", lambda: play.world.truth(TASK).starts > 1)
+        elif how == "late":
+            gate = Gate(idle[0], how)
             until("the job is accepted", lambda: submit(play, JOB, STEP))
             play_late(play, gate, [it for it in pool if it is not gate.machine])
         else:
-            play_cut(play, gate, how)
+            play_cut(play, Gate(idle[0], how), how)
             until("the task is started elsewhere", lambda: play.world.truth(TASK).starts > 1)
         broken = [it for it in play.world.broken if it.startswith("TWICE")]
         assert not broken, broken
