Connections left open at workers are bounded and counted

Cause: each leader could leave two or more, which has no bound. What held the number down was how short calls are. Nothing counted connections that go silent for good without the loss of a leader, nor those that a node keeps unused after it has stopped leading.

Now a leader's share follows from what may be left open: 16, 6 and 3 connections for the first ones, one for each later, closed after its call, which fits 40 losses into 64. A closed connection is in use until the worker closes its end, and half-open if it doesn't; half-open ones count against the share and are stored with the worker for the next leader. A leader that lacks connections and has known the worker for 5 s reserves up to eight, half of what is left; they are stored before they are used and charged if it is lost. A node that doesn't lead closes its connections to workers.

The time-out of a call begins when it gets its connection; a start isn't sent later than 0.4 s after it was planned, as before. The wait isn't taken for the latency of the leader's link.

--- a/src/jobs/losses.cc
+++ b/src/jobs/losses.cc
@@ -132,7 +132,7 @@
   const bool planned = worker.entry.draining || worker.reserved;
   if (!planned) ConfirmCrash(worker.entry.id, now);
   worker.started_at_ms = started_at_ms;
-  worker.leaders_lost_before = leaders_lost_;
+  worker.left = {started_at_ms, leaders_lost_};
   // The clock starts anew: until a report tells its time, no lease is granted.
   worker.clock_ms = worker.report_clock_ms = 0;
   worker.reported_end_number = worker.committed_end_number =
--- a/src/jobs/model.cc
+++ b/src/jobs/model.cc
@@ -68,6 +68,8 @@
       return "stale";
     case StartAnswer::kLate:
       return "late";
+    case StartAnswer::kNoConnection:
+      return "no_connection";
     case StartAnswer::kNoCapacity:
       return "no_room";
     case StartAnswer::kNoTicket:
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -102,6 +104,8 @@
   /// Start of this incarnation, Unix ms; 0: unknown.
   std::int64_t started_at_ms = 0;
   int max_connections = 0;  ///< That this leader may open to it; 0: any number.
+  /// Counts those that this leader has closed and the worker hasn't.
+  std::shared_ptr<std::atomic<int>> half_open;
   /// Connections to it are closed after each call, and no call waits: those
   /// that are open when the leader's VM loses power stay open at the worker.
   bool brief_connections = false;
@@ -181,6 +185,7 @@
   kStale,   ///< This or a later run was stopped or has ended on the worker.
   kLate,    ///< The deadline had passed.
   kNoCapacity,
+  kNoConnection,  ///< Not sent: all connections stayed in use.
   kNoTicket,
   kRefused,           ///< The worker refused; nothing was started.
   kOtherIncarnation,  ///< Another incarnation of the worker answered.
--- a/src/jobs/rows.cc
+++ b/src/jobs/rows.cc
@@ -353,15 +353,24 @@
                    {"zone", worker.entry.zone},
                    {"machine", worker.entry.vm},
                    {"started", worker.started_at_ms},
-                   {"lost_before", worker.leaders_lost_before}});
+                   {"lost_before", worker.left.leaders_lost_before},
+                   {"half_open", HalfOpen(worker.left)},
+                   {"reserved", worker.left.reserved},
+                   {"reserved_at", worker.left.reserved_at}});
 }
 
 bool DecodeWorkerRow(std::string_view text, Worker& worker, bool entry) {
   const auto row = ParseObject(text);
   if (!row) return false;
   worker.row_started_at_ms = IntegerOrZero(*row, "started");
-  worker.leaders_lost_before =
-      static_cast<int>(IntegerOrZero(*row, "lost_before"));
+  worker.row_half_open = static_cast<int>(IntegerOrZero(*row, "half_open"));
+  worker.row_reserved = static_cast<int>(IntegerOrZero(*row, "reserved"));
+  worker.left = {worker.row_started_at_ms,
+                 static_cast<int>(IntegerOrZero(*row, "lost_before")),
+                 worker.row_half_open};
+  worker.left.reserved = worker.row_reserved;
+  worker.left.reserved_at =
+      static_cast<int>(IntegerOrZero(*row, "reserved_at"));
   if (!entry) return true;
   worker.entry.address = TextOrEmpty(*row, "address");
   worker.entry.service = TextOrEmpty(*row, "service");
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -200,6 +200,9 @@
   EndRun(*worker, it, now);
   if (job.spec.steps[order.task.step].gang) StopGang(job, order.task);
   switch (answer) {
+    case StartAnswer::kNoConnection:
+      ReserveConnections(*worker, now);
+      [[fallthrough]];
     case StartAnswer::kNoCapacity:
       worker->refused_until = now + kNoRoomPause;
       break;
@@ -274,11 +277,12 @@
       !same_clock || report.clock_ms > worker->report_clock_ms;
   worker->report_clock_ms = report.clock_ms;
   RecordReturn(*worker, report, sent, now);
-  if (worker->started_at_ms == 0 &&
-      report.started_at_ms != worker->row_started_at_ms) {
-    worker->leaders_lost_before = leaders_lost_;
+  if (report.started_at_ms > 0) {
+    worker->started_at_ms = report.started_at_ms;
+    if (worker->left.started_at_ms != report.started_at_ms) {
+      worker->left = {report.started_at_ms, leaders_lost_};
+    }
   }
-  if (report.started_at_ms > 0) worker->started_at_ms = report.started_at_ms;
   worker->clock_ms = report.clock_ms;
   worker->clock_at = now;
   worker->last_report_at = now;
--- a/src/jobs/scheduler.h
+++ b/src/jobs/scheduler.h
@@ -240,6 +240,8 @@
   [[nodiscard]] Worker* FindWorker(std::string_view id);
   /// The worker's entry with the connections that this leader may open.
   [[nodiscard]] WorkerEntry EntryForCalls(const Worker& worker) const;
+  /// Calls to the worker wait for connections: reserves more of them.
+  void ReserveConnections(Worker& worker, Millis now) const;
   [[nodiscard]] std::map<std::string, Worker, std::less<>>& workers() {
     return workers_;
   }
@@ -277,6 +279,7 @@
   struct FormerWorker {
     std::uint64_t fence = 0;
     int restarts = 0;
+    LeftConnections left;
     Millis forget_at{0};
   };
   /// Jobs of one pool and its usable workers, in one plan.
@@ -386,6 +389,8 @@
   /// was ordered away.
   void EndReplacedWorker(Worker& worker, std::string_view by, bool ordered,
                          Millis now);
+  /// The most connections that are left open at the worker.
+  [[nodiscard]] int MostLeftOpenAt(const Worker& worker) const;
   /// Uses a worker again that was taken for ended: a later listing has it up.
   static void TakeBack(Worker& worker);
   /// Returns true when the VM certainly no longer runs this worker.
--- a/src/jobs/scheduler_rows.cc
+++ b/src/jobs/scheduler_rows.cc
@@ -139,6 +139,8 @@
     batch.rows.push_back({kWorkerTable, id, EncodeWorkerRow(worker)});
     batch.workers.push_back(id);
     worker.row_started_at_ms = worker.started_at_ms;
+    worker.row_half_open = HalfOpen(worker.left);
+    worker.row_reserved = worker.left.reserved;
   }
   std::size_t bytes = BytesSent(batch.rows);
   std::vector<std::pair<int, Job*>> order;
@@ -201,6 +203,8 @@
     Worker* worker = FindWorker(id);
     if (worker && !worker->ended) {
       worker->stored = true;
+      LeftConnections& left = worker->left;
+      left.granted = std::min(worker->row_reserved, left.reserved);
       continue;
     }
     // The worker ended while its row was being written.
@@ -327,6 +331,9 @@
   if (!read) {
     LogLine(LogLevel::kWarning, "worker_row_unreadable").With("worker", id);
   }
+  LeftConnections& left = worker.left;
+  const int reserved = std::exchange(left.reserved, 0);
+  if (leaders_lost_ > left.reserved_at) left.half_open_before += reserved;
   worker.entry.id = id;
   worker.listed = listed;
   worker.stored = true;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "jobs/crash_history.h"
@@ -45,6 +47,22 @@
   Millis stop_retry_at{0};
 };
 
+/// Connections that may be open at one incarnation of a worker and serve none.
+struct LeftConnections {
+  std::int64_t started_at_ms = 0;  ///< Start of the incarnation; 0: unknown.
+  /// Leaders lost before one first used the incarnation.
+  int leaders_lost_before = 0;
+  /// Closed by earlier leaders, but not by the worker.
+  int half_open_before = 0;
+  /// The same of this leader. Shared with the connections.
+  std::shared_ptr<std::atomic<int>> half_open =
+      std::make_shared<std::atomic<int>>(0);
+  /// More than its share that this leader may leave open if it is lost.
+  int reserved = 0;
+  int reserved_at = 0;  ///< Leaders lost before it.
+  int granted = 0;      ///< `reserved` once that is stored.
+};
+
 struct Worker {
   WorkerEntry entry;
   std::map<TaskId, Run> runs;
@@ -91,8 +109,9 @@
   std::int64_t row_started_at_ms = 0;
   /// Times that it was learned to have restarted under its id.
   int restarts = 0;
-  /// Leaders lost before one first used this incarnation.
-  int leaders_lost_before = 0;
+  LeftConnections left;
+  int row_half_open = 0;  ///< As last written to its row.
+  int row_reserved = 0;   ///< The same.
   /// Reading of its clock at local time `clock_at`.
   std::int64_t clock_ms = 0;
   Millis clock_at{0};
@@ -117,10 +136,13 @@
   std::map<std::string, int, std::less<>> per_step;
 };
 
-/// How many connections a leader may open to a worker if `lost` earlier leaders
-/// have used it. Workers accept 64, and those of a leader whose VM lost power
-/// stay open there.
-int MaxConnections(int lost);
+/// How many connections a leader may open to a worker where earlier ones have
+/// left `left_open`. Workers accept 64.
+int MaxConnections(int left_open);
+/// The most connections that `lost` leaders leave open at a worker.
+int MostLeftOpen(int lost);
+/// Connections that leaders have closed, but the worker hasn't.
+int HalfOpen(const LeftConnections& left);
 /// A long-running task pins its VM to the pool.
 bool HostsLongRunningTask(const Worker& worker);
 /// Whether no run on the worker except those of `job` may crash it:
@@ -132,9 +154,12 @@
 bool HasWaitedForAnEmptyWorker(const Task& task, Millis now);
 /// Whether a task that should run alone has waited too long for that.
 bool MayRunBesideOthers(const StepSpec& step, const Task& task, Millis now);
-/// Whether the worker's row is missing or names another incarnation.
+/// Whether the worker's row is missing, or names another incarnation, too few
+/// connections that are left open, or another reservation.
 inline bool IsRowDue(const Worker& worker) {
-  const bool current = worker.row_started_at_ms == worker.started_at_ms;
+  const bool current = worker.row_started_at_ms == worker.started_at_ms &&
+                       worker.row_half_open >= HalfOpen(worker.left) &&
+                       worker.row_reserved == worker.left.reserved;
   return worker.adopted && !worker.ended && !(worker.stored && current);
 }
 /// Whether the store holds the task's crash history; it isn't started before.
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -18,8 +18,6 @@
 constexpr Millis kRegistrationValidity{2600};
 // Orders are carried out up to 12 s after they were sent.
 constexpr Millis kLatestOrder = base::Seconds(15);
-// The connections of so many lost leaders, and of this one, may stay open.
-constexpr int kLostForBriefConnections = 3;
 
 }  // namespace
 
@@ -35,11 +33,16 @@
   Worker& worker = it->second;
   if (fresh) {
     worker.idle_since = worker.known_since = now;
-    worker.leaders_lost_before = leaders_lost_;
-    if (const auto former = former_workers_.find(entry.id);
-        former != former_workers_.end()) {
-      worker.fence = former->second.fence;
-      worker.restarts = former->second.restarts;
+    worker.left = {entry.started_at_ms, leaders_lost_};
+    if (const auto it = former_workers_.find(entry.id);
+        it != former_workers_.end()) {
+      const FormerWorker& former = it->second;
+      worker.fence = former.fence;
+      worker.restarts = former.restarts;
+      if (former.left.started_at_ms == entry.started_at_ms) {
+        worker.left = former.left;
+        worker.left.granted = 0;  // Its row was removed.
+      }
       ExpectFormerCalls(worker, now);
     }
   }
@@ -66,7 +69,7 @@
 std::map<std::string, Worker, std::less<>>::iterator Scheduler::Forget(
     std::map<std::string, Worker, std::less<>>::iterator it, Millis now) {
   const Worker& worker = it->second;
-  former_workers_[it->first] = {worker.fence, worker.restarts,
+  former_workers_[it->first] = {worker.fence, worker.restarts, worker.left,
                                 now + kLatestOrder};
   return workers_.erase(it);
 }
@@ -202,23 +205,6 @@
   }
 }
 
-int MaxConnections(int lost) {
-  // Halved with each lost leader: six of them together stay below 64. Later
-  // ones leave few open, as they close them after each call.
-  constexpr int kFirst = 32;
-  constexpr int kLeast = 2;  // One waits for ends of runs.
-  constexpr int kMostHalvings = 4;
-  return std::max(kLeast, kFirst >> std::clamp(lost, 0, kMostHalvings));
-}
-
-WorkerEntry Scheduler::EntryForCalls(const Worker& worker) const {
-  WorkerEntry entry = worker.entry;
-  const int lost = leaders_lost_ - worker.leaders_lost_before;
-  entry.max_connections = MaxConnections(lost);
-  entry.brief_connections = lost >= kLostForBriefConnections;
-  return entry;
-}
-
 Worker* Scheduler::FindWorker(std::string_view id) {
   const auto it = workers_.find(id);
   return it == workers_.end() ? nullptr : &it->second;
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -122,6 +123,20 @@
   /// An idle connection is closed after this time. Shorter than the server's
   /// idle timeout, so that this side closes first.
   base::Millis idle_time = base::Seconds(20);
+  /// If not 0, a closed connection counts as in use until the server closes its
+  /// end, and as half-open if it doesn't within this time.
+  base::Millis close_timeout{0};
+  /// A connection that is half-open for this long stays so: its path has lost
+  /// its state.
+  base::Millis late_close_timeout = base::Seconds(60);
+};
+
+/// A client's share of the connections that a server accepts.
+struct ConnectionShare {
+  std::size_t max_open = 0;  ///< 0: any number.
+  /// Counts connections that the client has closed and the server hasn't, each
+  /// with the counter of its newest call. May be null.
+  std::shared_ptr<std::atomic<int>> half_open;
 };
 
 /// HTTP client with a pool of keep-alive connections per address.
@@ -130,8 +145,11 @@
   explicit HttpClient(WorkerPool& pool, HttpClientLimits limits = {});
   ~HttpClient();
   [[nodiscard]] std::size_t idle_connections() const;
+  /// Closes up to `most` idle connections, those unused for longest first.
+  void CloseIdle(std::size_t most);
   /// Sends one request and returns the complete response; a response of unknown
-  /// length is an error. `timeout` includes the wait for a free connection.
+  /// length is an error. The call may take `timeout` from when it gets a
+  /// connection, and waits as long for one at most.
   /// Idle connections that the server has closed are discarded before use, and
   /// those to an address where a call on such a connection has timed out,
   /// unless they were used after it was sent. A request with the header
@@ -140,12 +158,12 @@
   /// if it returns false, the call fails with kNotSent. If `header_timeout`
   /// isn't 0, the header of the response must arrive within that time after the
   /// request was sent.
-  /// If `max_open` isn't 0, the call waits while so many calls to the address
-  /// are in progress, which then have as many connections, idle ones included.
+  /// If `share.max_open` isn't 0, the call waits while so many connections to
+  /// the address are used by calls or being closed.
   boost::asio::awaitable<tl::expected<HttpResponse, HttpError>> Call(
       std::string address, HttpRequest request, base::Millis timeout,
       std::function<bool()> may_send = {}, base::Millis header_timeout = {0},
-      std::size_t max_open = 0);
+      ConnectionShare share = {});
 
  private:
   struct State;
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -381,12 +381,22 @@
                                  order.ticket};
   platform::OrderReply reply;
   ++starts_in_flight_;
-  const auto answer = co_await platform_.Start(entry, request, kOrderTimeout,
-                                               &reply, OrderPermission(term));
+  // The worker may have begun to drain, or be smaller, since it was chosen.
+  bool too_late = false;
+  std::optional<Millis> connected;
+  const auto may_send = [this, term, sent, &too_late, &connected] {
+    connected = clock_.Now();
+    too_late = *connected - sent > kOrderTimeout;
+    return !too_late && IsLeading(term) && CanSendOrders();
+  };
+  auto answer =
+      co_await platform_.Start(entry, request, kOrderTimeout, &reply, may_send);
+  if (too_late) answer = jobs::StartAnswer::kNoConnection;
   const Millis now = clock_.Now();
   // Tasks may be waiting for room in the window.
   if (start_window_.Room(starts_in_flight_--) == 0) RequestPlan();
-  start_window_.OnAnswer(now - sent, now);
+  // A wait for a connection tells nothing of the leader's link.
+  if (connected) start_window_.OnAnswer(now - *connected, now);
   metrics_.Observe("hemlockward_start_ms", "",
                    static_cast<double>((now - sent).count));
   metrics_.Count("hemlockward_starts_total",
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -43,6 +43,9 @@
 constexpr Millis kLongUptime = base::Seconds(20);
 /// Margin for orders in transit.
 constexpr Millis kLeaseSlack{400};
+/// A node that no longer leads closes its connections to workers, this many at
+/// a time: a large fleet has thousands.
+constexpr std::size_t kClosesPerCheck = 64;
 
 }  // namespace
 
@@ -55,6 +58,7 @@
       if (leads_) {
         co_await HandOverIfWeaker();
       } else {
+        worker_http_.CloseIdle(kClosesPerCheck);
         co_await CheckLease();
       }
     } catch (const std::exception& e) {
--- a/src/node/process.cc
+++ b/src/node/process.cc
@@ -37,7 +37,9 @@
 }
 
 /// Few connections should stay open at a worker when this VM loses power
-/// (`jobs::MaxConnections`).
+/// (`jobs::MaxConnections`). Workers close their ends within milliseconds, and
+/// a path that is interrupted usually recovers within seconds.
+constexpr Millis kWorkerCloseTimeout = base::Seconds(1);
 constexpr Millis kWorkerIdleTime = base::Seconds(2);
 constexpr std::size_t kIdlePerWorker = 8;
 /// Idle connections to the store, the VM and the advice services.
@@ -49,6 +51,7 @@
   kernel::HttpClientLimits limits;
   limits.idle_time = kWorkerIdleTime;
   limits.idle_per_address = kIdlePerWorker;
+  limits.close_timeout = kWorkerCloseTimeout;
   limits.idle =
       static_cast<std::size_t>(settings.max_descriptors - kMaxConnections) / 2 -
       kIdleServiceConnections;
