VM of a worker that refuses all connections gets a new worker

Now a refused or reset new connection is reported as such. A worker that refused each one for three heartbeats while a later heartbeat of it was read, and can run nothing any more, has its VM moved to another pool, to the one that is powered off if there is one; the fleet brings it back as needed. A process that is gone refuses as well, but has no heartbeat. With a single pool there is nowhere to move it.

Evidence: worker_connections_test.py full waited in vain on (20 s); passes now. The unit tests don't compile before.

--- a/src/jobs/connections.cc
+++ b/src/jobs/connections.cc
@@ -34,6 +34,25 @@
   return left_open;
 }
 
+void RecordContact(Worker& worker, bool refused, Millis now) {
+  if (!refused) {
+    worker.refuses_since = {-1};
+  } else if (worker.refuses_since.count < 0) {
+    worker.refuses_since = now;
+  }
+}
+
+bool NeedsNewIncarnation(const Worker& worker, Millis now) {
+  // A worker that is gone refuses connections too, but has no heartbeat; its
+  // registration is removed after three intervals.
+  constexpr Millis kHeartbeatInterval{1500};
+  constexpr int kIntervals = 3;
+  const Millis since = worker.refuses_since;
+  return since.count >= 0 && now - since >= kHeartbeatInterval * kIntervals &&
+         worker.registered_at - since >= kHeartbeatInterval && worker.listed &&
+         !worker.ended && worker.runs.empty() && now > worker.lease_expires_by;
+}
+
 int HalfOpen(const LeftConnections& left) {
   return left.half_open_before + *left.half_open;
 }
--- a/src/jobs/fleet.cc
+++ b/src/jobs/fleet.cc
@@ -54,6 +54,17 @@
   return it != config.services.end() && it->second.headroom;
 }
 
+// A pool to which a VM of `pool` may move; powered off VMs cost nothing.
+// Null if there is none.
+const std::string* OtherPool(const Configuration& config,
+                             const std::string& pool) {
+  const std::string* other = nullptr;
+  for (const auto& [name, service] : config.services) {
+    if (name != pool && (!other || service.headroom)) other = &name;
+  }
+  return other;
+}
+
 }  // namespace
 
 std::string_view ToText(VmAnswer answer) {
@@ -249,6 +260,7 @@
     IssueOrder(state, state.order, orders, now);
   }
   PlanWaves(waves, scheduler, orders, now);
+  PlanReplacements(scheduler, orders, now);
   PlanMoves(scheduler, orders, now);
   return orders;
 }
@@ -304,6 +316,24 @@
   }
 }
 
+void Fleet::PlanReplacements(Scheduler& scheduler, std::vector<VmOrder>& orders,
+                             Millis now) {
+  for (auto& [name, state] : vms_) {
+    if (!IsFree(state, now) || tokens_ < 1) continue;
+    Worker* worker = scheduler.FindWorker(state.vm.worker);
+    if (!worker || !NeedsNewIncarnation(*worker, now)) continue;
+    const std::string* pool =
+        OtherPool(scheduler.configuration(), state.vm.pool);
+    if (!pool) continue;
+    LogLine(LogLevel::kWarning, "worker_refuses_connections")
+        .With("worker", worker->entry.id)
+        .With("machine", name)
+        .With("for_ms", (now - worker->refuses_since).count);
+    worker->reserved = true;
+    IssueOrder(state, {name, state.vm.worker, *pool, 0}, orders, now);
+  }
+}
+
 void Fleet::ComputeNeed(Pool& pool, const PoolDemand& demand) const {
   const auto vms_for = [&pool](std::int64_t cpu, std::int64_t memory_mb) {
     const double by_cpu =
--- a/src/jobs/fleet.h
+++ b/src/jobs/fleet.h
@@ -106,6 +106,9 @@
 
   void PlanWaves(const std::map<int, WaveOrder>& waves, Scheduler& scheduler,
                  std::vector<VmOrder>& orders, Millis now);
+  /// Moves VMs whose workers can't be used any more but by a new incarnation.
+  void PlanReplacements(Scheduler& scheduler, std::vector<VmOrder>& orders,
+                        Millis now);
   void PlanMoves(Scheduler& scheduler, std::vector<VmOrder>& orders,
                  Millis now);
   std::vector<Pool> ComputePools(Scheduler& scheduler, Millis now);
--- a/src/jobs/losses.cc
+++ b/src/jobs/losses.cc
@@ -133,6 +133,7 @@
   if (!planned) ConfirmCrash(worker.entry.id, now);
   worker.started_at_ms = started_at_ms;
   worker.left = {started_at_ms, leaders_lost_};
+  worker.refuses_since = {-1};
   // The clock starts anew: until a report tells its time, no lease is granted.
   worker.clock_ms = worker.report_clock_ms = 0;
   worker.reported_end_number = worker.committed_end_number =
--- a/src/jobs/model.h
+++ b/src/jobs/model.h
@@ -101,6 +101,7 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool draining = false;
+  std::uint64_t version = 0;  ///< Of the registration; a heartbeat raises it.
   /// Start of this incarnation, Unix ms; 0: unknown.
   std::int64_t started_at_ms = 0;
   int max_connections = 0;  ///< That this leader may open to it; 0: any number.
--- a/src/jobs/runs.cc
+++ b/src/jobs/runs.cc
@@ -287,6 +287,7 @@
   worker->clock_at = now;
   worker->last_report_at = now;
   worker->unresponsive = false;
+  RecordContact(*worker, false, now);
   worker->adopted = true;
   worker->more_ended = report.more_ended;
   if (!report.more_ended) worker->earlier_runs_known = true;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -110,8 +110,11 @@
   /// Times that it was learned to have restarted under its id.
   int restarts = 0;
   LeftConnections left;
-  int row_half_open = 0;  ///< As last written to its row.
-  int row_reserved = 0;   ///< The same.
+  /// Since when it has refused each new connection; -1: it doesn't.
+  Millis refuses_since{-1};
+  Millis registered_at{0};  ///< When its newest heartbeat was read.
+  int row_half_open = 0;    ///< As last written to its row.
+  int row_reserved = 0;     ///< The same.
   /// Reading of its clock at local time `clock_at`.
   std::int64_t clock_ms = 0;
   Millis clock_at{0};
@@ -143,6 +146,11 @@
 int MostLeftOpen(int lost);
 /// Connections that leaders have closed, but the worker hasn't.
 int HalfOpen(const LeftConnections& left);
+/// A report was requested from the worker. `refused`: it refused a connection.
+void RecordContact(Worker& worker, bool refused, Millis now);
+/// Whether the worker is alive but accepts no connections any more: those that
+/// are left open there take up all, for as long as it lives.
+bool NeedsNewIncarnation(const Worker& worker, Millis now);
 /// A long-running task pins its VM to the pool.
 bool HostsLongRunningTask(const Worker& worker);
 /// Whether no run on the worker except those of `job` may crash it:
--- a/src/jobs/workers.cc
+++ b/src/jobs/workers.cc
@@ -53,6 +53,7 @@
     worker.adopted = false;
   }
   const bool moved = !fresh && worker.entry.service != entry.service;
+  if (entry.version > worker.entry.version) worker.registered_at = now;
   worker.entry = entry;
   worker.listed = true;
   if (fresh || moved) {
--- a/src/kernel/http.h
+++ b/src/kernel/http.h
@@ -110,6 +110,8 @@
 struct HttpError {
   HttpFailure failure = HttpFailure::kNotSent;
   std::string what;
+  /// The server refused a new connection, or reset it before any response.
+  bool refused = false;
 };
 
 /// Text of the HttpError of a call that `may_send` cancelled.
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -325,11 +325,13 @@
   beast::tcp_stream& stream = connection.stream;
   const base::Millis deadline = clock.Now() + timeout;
   const bool reused = connection.established;
+  bool answered = false;
   const auto error = [&]() -> tl::unexpected<HttpError> {
     const bool timed_out = connection.expired;
+    const bool refused = !reused && !answered && !timed_out;
     return tl::unexpected(
         HttpError{timed_out ? HttpFailure::kTimeout : HttpFailure::kBroken,
-                  timed_out ? "timed out" : ec.message()});
+                  timed_out ? "timed out" : ec.message(), refused});
   };
   if (!reused) {
     const auto endpoint = ParseEndpoint(address);
@@ -340,7 +342,10 @@
     connection.ExpireAfter(std::min(timeout, kConnectTimeout));
     co_await stream.async_connect(*endpoint, Redirect(ec));
     if (ec) {
-      co_return tl::unexpected(HttpError{HttpFailure::kNotSent, ec.message()});
+      const bool refused = ec == asio::error::connection_refused ||
+                           ec == asio::error::connection_reset;
+      co_return tl::unexpected(
+          HttpError{HttpFailure::kNotSent, ec.message(), refused});
     }
     connection.established = true;
     stream.socket().set_option(tcp::no_delay(true), ec);
@@ -374,6 +379,7 @@
   while (!ec && !parser.is_done()) {
     if (connection.expired) co_return error();
     co_await http::async_read_some(stream, buffer, parser, Redirect(ec));
+    answered = answered || parser.got_some();
     if (!parser.is_header_done()) continue;
     if (header_timeout.count > 0) {
       header_timeout = {0};
--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -88,6 +88,7 @@
     scheduler_.RemoveWorker(row.key);
     return;
   }
+  entry->version = row.version;
   if (scheduler_.UpsertWorker(*entry, now)) {
     pool_.Spawn("fence_off", FenceOffFormerOrders(term, row.key));
   }
@@ -243,6 +244,7 @@
           .With("error", report.error().what);
     }
     worker->unresponsive = true;
+    jobs::RecordContact(*worker, report.error().refused, now);
     if (report.error().failure == CallFailure::kConflict &&
         !IsOutdated(id, fence)) {
       StepDown("a worker has accepted a newer fencing token");
--- a/tests/http_connections_test.cc
+++ b/tests/http_connections_test.cc
@@ -146,5 +146,31 @@
   EXPECT_EQ(*half_open_, 0);
 }
 
+TEST_F(HalfOpenTest, ServerThatRefusesConnectionsIsToldFromASilentOne) {
+  Start({20});
+  const auto silent = Call({20}, 8);
+  ASSERT_FALSE(silent);
+  EXPECT_FALSE(silent.error().refused);
+  tcp::acceptor acceptor(pool_.context(),
+                         {asio::ip::address_v4::loopback(), 0});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  const auto call = [&] {
+    return tests::RunBlocking(
+        pool_, client_->Call(address, {}, base::Seconds(10), {}, {0}, {8}));
+  };
+  const std::jthread reset([&acceptor] {
+    tcp::socket socket = acceptor.accept();
+    socket.set_option(asio::socket_base::linger(true, 0));
+  });
+  const auto broken = call();
+  ASSERT_FALSE(broken);
+  EXPECT_TRUE(broken.error().refused);
+  acceptor.close();
+  const auto refused = call();
+  ASSERT_FALSE(refused);
+  EXPECT_TRUE(refused.error().refused);
+}
+
 }  // namespace
 }  // namespace hemlockward::kernel
--- a/tests/jobs_connections_test.cc
+++ b/tests/jobs_connections_test.cc
@@ -118,5 +118,60 @@
   EXPECT_EQ(MostOpen("w"), MaxConnections(20));
 }
 
+// Connections that are left open at it take up all that it accepts.
+class RefusingWorkerTest : public ConnectionsTest {
+ protected:
+  RefusingWorkerTest() {
+    AddWorker("w");
+    RecordContact(Find("w"), true, now_);
+  }
+
+  void Beat() {
+    WorkerEntry entry = Find("w").entry;
+    ++entry.version;
+    scheduler_.UpsertWorker(entry, now_);
+  }
+
+  bool IsReplaced() { return NeedsNewIncarnation(Find("w"), now_); }
+};
+
+TEST_F(RefusingWorkerTest, ReplacedOnceItCanRunNothing) {
+  const Millis since = now_;
+  while (now_ - since < base::Seconds(4)) {
+    now_ += Millis{500};
+    Beat();
+    RecordContact(Find("w"), true, now_);
+    EXPECT_FALSE(IsReplaced());
+  }
+  now_ += base::Seconds(4);
+  EXPECT_TRUE(IsReplaced());
+  // It may run tasks.
+  Find("w").lease_expires_by = now_ + Millis{1};
+  EXPECT_FALSE(IsReplaced());
+}
+
+TEST_F(RefusingWorkerTest, KeptIfItAnswersAgain) {
+  now_ += base::Seconds(5);
+  Beat();
+  now_ += base::Seconds(5);
+  ASSERT_TRUE(IsReplaced());
+  Report("w", {});
+  EXPECT_FALSE(IsReplaced());
+}
+
+TEST_F(RefusingWorkerTest, KeptIfACallTimesOut) {
+  now_ += base::Seconds(5);
+  Beat();
+  now_ += base::Seconds(5);
+  RecordContact(Find("w"), false, now_);
+  EXPECT_FALSE(IsReplaced());
+}
+
+// A process that is gone refuses connections as well.
+TEST_F(RefusingWorkerTest, KeptWithoutAHeartbeat) {
+  now_ += base::Seconds(20);
+  EXPECT_FALSE(IsReplaced());
+}
+
 }  // namespace
 }  // namespace hemlockward::jobs
--- a/tests/jobs_fleet_test.cc
+++ b/tests/jobs_fleet_test.cc
@@ -118,6 +118,31 @@
 
 // Every VM of the busy pool is at work, so none falls idle while its backlog
 // lasts.
+// Its VM moves, as connections left open at a worker end with its incarnation.
+TEST_F(FleetTest, WorkerThatRefusesConnectionsGetsANewIncarnation) {
+  AddVm("m1", "busy");
+  List();
+  Submit("busy", 1);
+  Worker& worker = *scheduler_.FindWorker("w-m1");
+  RecordContact(worker, true, now_);
+  now_ += base::Seconds(5);
+  WorkerEntry entry = worker.entry;
+  ++entry.version;
+  scheduler_.UpsertWorker(entry, now_);
+  const auto orders = Plan(base::Seconds(5));
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].vm, "m1");
+  EXPECT_EQ(orders[0].pool, "off");
+  Answer(orders, VmAnswer::kDone);
+  vms_[0].pool = "off";
+  vms_[0].worker.clear();
+  now_ += base::Seconds(2);
+  List();
+  const auto back = Plan({100});
+  ASSERT_EQ(back.size(), 1U);
+  EXPECT_EQ(back[0].pool, "busy");
+}
+
 TEST_F(FleetTest, PoolBeyondItsShareReleasesVmsToAPoolWithoutAny) {
   for (const char* it : {"m1", "m2", "m3", "m4"}) AddVm(it, "busy");
   List();
--- a/tests/system/restarted_worker_test.py
+++ b/tests/system/restarted_worker_test.py
@@ -37,8 +37,8 @@
 WATCH_S = 2.0
 
 
-def lasting(cpu):
-    return {"count": 2, "cpu": cpu, "mem_mb": 64, "est_runtime_ms": 300, "daemon": True, "anti_affinity": 1}
+def lasting(cpu, count=2):
+    return {"count": count, "cpu": cpu, "mem_mb": 64, "est_runtime_ms": 300, "daemon": True, "anti_affinity": 1}
 
 
 def submit(play, job_id, step):
@@ -49,7 +49,8 @@
 
 
 def is_at_work(machines, job_id, tasks):
-    return sum(f"{job_id}.0.0.{i}" in it.life.active for it in machines for i in range(tasks)) == tasks
+    lives = [it.life for it in machines if it.life]
+    return sum(f"{job_id}.0.0.{i}" in it.active for it in lives for i in range(tasks)) == tasks
 
 
 def restart(machine, registers):
--- a/tests/system/worker_connections_test.py
+++ b/tests/system/worker_connections_test.py
@@ -1,8 +1,9 @@
 """Connections to workers are lost in series and stay open there; workers accept a limited number. Jobs must go on.
 
-Usage: worker_connections_test.py silenced|power (with HEMLOCKWARD_BIN set)
+Usage: worker_connections_test.py silenced|power|full (with HEMLOCKWARD_BIN set)
   silenced: all open connections go silent for good, again and again; the leader stays
   power: the leader's machine loses power, again and again; workers answer late
+  full: others use up all that one worker accepts; it gets a new life
 """
 
 import json
@@ -15,11 +16,14 @@
 import soak
 import users_platform as platform
 from deposed_leader_test import call, until
+from restarted_worker_test import is_at_work, lasting, submit
 
 LOSSES = {"silenced": 20, "power": 40}
 GAP_S = 1.5  # The leader has opened connections again by then.
 STEP = {"count": 12, "cpu": 2000, "mem_mb": 64, "est_runtime_ms": 300}
 PAUSE_S = 0.4
+MACHINES = 9
+LASTING = "f" * 16  # One task on each machine.
 LATE_S = 0.2  # Their answers.
 
 
@@ -89,8 +93,20 @@
     return most
 
 
+def play_full(play, machine):
+    machines = play.world.machines.values()
+    until("a lasting job is accepted", lambda: submit(play, LASTING, lasting(1000, MACHINES)))
+    until("it is at work", lambda: is_at_work(machines, LASTING, MACHINES))
+    first = machine.life
+    machine.link.refusing = True
+    machine.link.reset()
+    until("its machine has moved", lambda: machine.life is not first)
+    machine.link.refusing = False
+    until("it is used again", lambda: is_at_work(machines, LASTING, MACHINES))
+
+
 def main(how):
-    play = soak.Soak(seed=1, seconds=0, nodes=3, machines=9)
+    play = soak.Soak(seed=1, seconds=0, nodes=3, machines=MACHINES)
     play.world.unguarded.clear()
     play.stopping = False
     threading.Thread(target=play.tick, daemon=True).start()
@@ -103,9 +119,12 @@
         if how == "power":
             for machine in pool:
                 answer_late(machine)
-        most = play_losses(play, silence if how == "silenced" else lose_power, LOSSES[how])
-        print(f"{most} connections at most")
-        assert most < platform.CONNECTIONS, most
+        if how == "full":
+            play_full(play, pool[0])
+        else:
+            most = play_losses(play, silence if how == "silenced" else lose_power, LOSSES[how])
+            print(f"{most} connections at most")
+            assert most < platform.CONNECTIONS, most
         traffic.stop()
         last = []
         until("a job is accepted", lambda: last.append(traffic.submit()) or last[-1])
