The next leader counts its predecessor's calls until they end

Callers saw a task run twice at once (TWICE) when a worker had started again under its id, was cut off soon after, and the leader handed over meanwhile.

Cause: the same as for one leader, across two. A hold that was on its way at the hand-over gave the worker's next life the longest lease up to 1.7 s later, when its call ended; the next leader allowed 0.4 s after its predecessor's last order.

Now it allows for the longest call. Tasks of workers that stay out of reach after a change of leader wait 1.3 s longer.

--- a/src/node/leader.cc
+++ b/src/node/leader.cc
@@ -27,10 +27,6 @@
 /// Timeout of a start or stop order: workers respond in 5 ms, and a busy leader
 /// processes the response within 100 ms.
 constexpr Millis kOrderTimeout{400};
-/// Longest time that a worker waits for the end of a run before it reports.
-/// Limits the age of progress data; well below the workers' lease.
-constexpr Millis kReportWait{900};
-constexpr Millis kReportTimeoutSlack{800};
 /// Interval of the reports of a worker that isn't asked to wait for an end.
 constexpr Millis kBriefReportInterval{250};
 constexpr Millis kSilentWorkerRetryPause{300};
--- a/src/node/leadership.cc
+++ b/src/node/leadership.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "jobs/rows.h"
 #include "node/process.h"
+#include "node/renewal.h"
 #include "peer/gen/peer_types.h"
 
 namespace hemlockward::node {
@@ -41,8 +42,6 @@
 /// time, in which steady clocks drift apart by far less than a millisecond.
 constexpr Millis kStoreTimeMaxAge = base::Seconds(10);
 constexpr Millis kLongUptime = base::Seconds(20);
-/// Margin for orders in transit.
-constexpr Millis kLeaseSlack{400};
 /// A node that no longer leads closes its connections to workers, this many at
 /// a time: a large fleet has thousands.
 constexpr std::size_t kClosesPerCheck = 64;
@@ -359,11 +358,12 @@
   lease_taken_ = clock_.Now();
   lease_.lease = own_lease_ = row;
   lease_.lease_version = version->version;
-  // A worker that has restarted under its id may have taken its last orders by
-  // the clock of its former incarnation.
+  // A worker that has restarted under its id may take the last orders of the
+  // earlier holder by the clock of its former incarnation, until their calls
+  // end.
   const Millis lease =
       jobs::LongestGrant({settings_.worker_lease, settings_.longest_lease}) +
-      kLeaseSlack;
+      kLongestCall;
   scheduler_.BeginTerm(term,
                        std::max(earlier.orders_end, earlier.renewed) + lease,
                        row.lost_holders);
--- a/src/node/renewal.h
+++ b/src/node/renewal.h
@@ -10,6 +10,13 @@
 /// a run several times a second.
 namespace hemlockward::node {
 
+/// Longest time that a worker waits for the end of a run before it reports.
+/// Limits the age of progress data; well below the workers' lease.
+inline constexpr base::Millis kReportWait{900};
+inline constexpr base::Millis kReportTimeoutSlack{800};
+/// No call to a worker takes longer once it is sent.
+inline constexpr base::Millis kLongestCall = kReportWait + kReportTimeoutSlack;
+
 enum class RenewalStep : std::uint8_t {
   kRest,             ///< Nothing runs there and nothing is to be confirmed.
   kAwaitPermission,  ///< The leader may send no orders now.
--- a/tests/system/restarted_worker_test.py
+++ b/tests/system/restarted_worker_test.py
@@ -1,13 +1,14 @@
 """A worker that starts again under its id takes calls that were meant for its former life, and is cut off
 soon after. No task may run twice.
 
-Usage: restarted_worker_test.py registered|answered|unanswered|handover|late|held (with HEMLOCKWARD_BIN set)
+Usage: restarted_worker_test.py registered|answered|unanswered|handover|late|held|held_handover (with HEMLOCKWARD_BIN set)
   registered: an idle worker restarts and registers, a task starts there
   answered: its leader doesn't learn of the restart and starts a task there
   unanswered: the same, and the worker is cut off before it answers
   handover: the same as answered, and the leader hands over to another node
   late: a start gets no answer; it is carried out once the worker has restarted and the task runs elsewhere
   held: the worker restarts when a start and a hold are on their way; they reach its next life, the hold later
+  held_handover: the same, and the leader hands over meanwhile
 """
 
 import json
@@ -33,7 +34,7 @@
 SILENCE_S = 3.0
 RESTART_AFTER_S = 1.5
 LATE_S = 2.5
-HELD_S = 1.1  # Less than the leader waits for the answer to a hold.
+HELD_S = 1.4  # Less than the leader waits for the answer to a hold.
 WATCH_S = 2.0
 
 
@@ -63,6 +64,12 @@
             machine.beat_at = float("inf")
 
 
+def hand_over(play):
+    leader = play.leader()
+    leader.expected_end = True
+    leader.send(signal.SIGTERM)
+
+
 class Gate:
     """In front of a machine: cuts its worker off, or holds its first start back."""
 
@@ -135,9 +142,7 @@
     gate.cut = True
     assert call(play.nodes[0], "DELETE", f"/q-a/{LARGE}") == 200
     if how == "handover":
-        leader = play.leader()
-        leader.expected_end = True
-        leader.send(signal.SIGTERM)
+        hand_over(play)
 
 
 def main(how):
@@ -156,11 +161,13 @@
             until("it is at work", lambda: is_at_work(pool, job_id, 2))
         idle = [it for it in pool if not it.life.active]
         assert len(idle) == 1, [list(it.life.active) for it in pool]
-        if how == "held":
+        if how.startswith("held"):
             HeldGate(idle[0])
             until("the job is accepted", lambda: submit(play, JOB, STEP))
             until("the task has begun", lambda: is_at_work(idle, JOB, 1))
             assert call(play.nodes[0], "DELETE", f"/q-a/{LARGE}") == 200
+            if how == "held_handover":
+                hand_over(play)
             until("the task is started elsewhere", lambda: play.world.truth(TASK).starts > 1)
         elif how == "late":
             gate = Gate(idle[0], how)
